Lay out the workspace

Cause: the repository is empty. Ruled out: one crate with modules; the core would then link sockets.

--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission of requests at the node beside a target.
--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of requests that must not be repeated.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration text, compiled snapshots and the fold of the publication stream.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership: SWIM-style failure detection and scoped dissemination.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sockets, files and timers round the core.
--- /dev/null
+++ b/crates/ops/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and traces.
--- /dev/null
+++ b/crates/plat/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's append-only log.
--- /dev/null
+++ b/crates/spread/src/lib.rs
@@ -0,0 +1,1 @@
+//! Spread of accepted configuration from log readers to every node.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! Command line of briarlug.
+fn main() {}
