--- /dev/null
+++ b/crates/fakes/src/log.rs
@@ -0,0 +1,344 @@
+//! Stand-in for the platform's append-only log, with faults.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::extract::{Path, Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use parking_lot::Mutex;
+use plat::{Append, Appended, Batch, BoxFuture, Log, LogError, Page, Record};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use wire::Offset;
+
+const MAX_WAIT: Duration = Duration::from_secs(30);
+const MAX_BATCH_RECORDS: usize = 1_000;
+
+/// Faults of the stand-in. All off by default.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogFaults {
+    /// Refuse each call with status 503.
+    pub down: bool,
+    /// Let this many appends take effect but answer them with status 504.
+    pub lose_answers: u32,
+    /// Delay each append by this many milliseconds.
+    pub append_delay_ms: u64,
+    /// Keep at most this many records in a stream; 0 keeps all.
+    pub retain: usize,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    oldest: u64,
+    records: Vec<Vec<u8>>,
+}
+
+impl Stream {
+    fn end(&self) -> u64 {
+        self.oldest + self.records.len() as u64
+    }
+
+    fn expire(&mut self, retain: usize) {
+        if retain > 0 && self.records.len() > retain {
+            let n = self.records.len() - retain;
+            self.records.drain(..n);
+            self.oldest += n as u64;
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    streams: HashMap<String, Stream>,
+    faults: LogFaults,
+    appends: u64,
+    reads: u64,
+}
+
+/// An in-memory log. Clones share their content.
+#[derive(Clone, Debug)]
+pub struct FakeLog {
+    inner: Arc<Mutex<Inner>>,
+    changed: Arc<watch::Sender<u64>>,
+}
+
+impl Default for FakeLog {
+    fn default() -> FakeLog {
+        FakeLog {
+            inner: Arc::default(),
+            changed: Arc::new(watch::Sender::new(0)),
+        }
+    }
+}
+
+impl FakeLog {
+    /// Makes an empty log.
+    pub fn new() -> FakeLog {
+        FakeLog::default()
+    }
+
+    /// Replaces the faults and wakes waiting readers.
+    pub fn set_faults(&self, faults: LogFaults) {
+        let mut inner = self.inner.lock();
+        inner.faults = faults;
+        for s in inner.streams.values_mut() {
+            s.expire(faults.retain);
+        }
+        drop(inner);
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    /// Returns the number of append calls taken so far.
+    pub fn appends(&self) -> u64 {
+        self.inner.lock().appends
+    }
+
+    /// Returns the number of read calls answered so far.
+    pub fn reads(&self) -> u64 {
+        self.inner.lock().reads
+    }
+
+    fn append_now(&self, stream: &str, records: Vec<Vec<u8>>) -> Result<Offset, LogError> {
+        let mut inner = self.inner.lock();
+        if inner.faults.down {
+            return Err(LogError::Refused { status: 503 });
+        }
+        inner.appends += 1;
+        let retain = inner.faults.retain;
+        let s = inner.streams.entry(stream.to_owned()).or_default();
+        let first = s.end();
+        s.records.extend(records);
+        s.expire(retain);
+        let lost = inner.faults.lose_answers > 0;
+        inner.faults.lose_answers = inner.faults.lose_answers.saturating_sub(1);
+        drop(inner);
+        self.changed.send_modify(|n| *n += 1);
+        if lost {
+            return Err(LogError::NoAnswer {
+                reason: "answer lost".to_owned(),
+            });
+        }
+        Ok(Offset(first))
+    }
+
+    fn read_now(&self, stream: &str, from: Offset) -> Result<Batch, LogError> {
+        let mut inner = self.inner.lock();
+        if inner.faults.down {
+            return Err(LogError::Refused { status: 503 });
+        }
+        let Some(s) = inner.streams.get(stream) else {
+            return Ok(Batch::default());
+        };
+        if from.0 < s.oldest {
+            return Err(LogError::Expired {
+                from,
+                oldest: Offset(s.oldest),
+            });
+        }
+        let skip = usize::try_from(from.0 - s.oldest).unwrap_or(usize::MAX);
+        let kept = s
+            .records
+            .iter()
+            .enumerate()
+            .skip(skip)
+            .take(MAX_BATCH_RECORDS);
+        let record = |(i, data): (usize, &Vec<u8>)| Record {
+            offset: Offset(s.oldest + i as u64),
+            data: data.clone(),
+        };
+        let batch = Batch {
+            records: kept.map(record).collect(),
+            oldest: Offset(s.oldest),
+            end: Offset(s.end()),
+        };
+        inner.reads += 1;
+        Ok(batch)
+    }
+
+    async fn append_delayed(
+        &self,
+        stream: &str,
+        records: Vec<Vec<u8>>,
+    ) -> Result<Offset, LogError> {
+        let delay = self.inner.lock().faults.append_delay_ms;
+        if delay > 0 {
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+        }
+        self.append_now(stream, records)
+    }
+
+    async fn read_waiting(
+        &self,
+        stream: &str,
+        from: Offset,
+        wait: Duration,
+    ) -> Result<Batch, LogError> {
+        let mut changed = self.changed.subscribe();
+        let until = tokio::time::Instant::now() + wait.min(MAX_WAIT);
+        loop {
+            let batch = self.read_now(stream, from)?;
+            let waited = tokio::time::timeout_at(until, changed.changed());
+            if !batch.records.is_empty() || waited.await.is_err() {
+                return Ok(batch);
+            }
+        }
+    }
+}
+
+impl Log for FakeLog {
+    fn append<'a>(
+        &'a self,
+        stream: &'a str,
+        records: Vec<Vec<u8>>,
+    ) -> BoxFuture<'a, Result<Offset, LogError>> {
+        Box::pin(self.append_delayed(stream, records))
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a str,
+        from: Offset,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Batch, LogError>> {
+        Box::pin(self.read_waiting(stream, from, wait))
+    }
+}
+
+/// A [`FakeLog`] behind the log's HTTP interface. `POST /faults` replaces the faults.
+#[derive(Debug)]
+pub struct LogServer {
+    addr: SocketAddr,
+    log: FakeLog,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl LogServer {
+    /// Binds `addr` and serves `log` until [`LogServer::stop`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be bound.
+    pub async fn start(addr: SocketAddr, log: FakeLog) -> std::io::Result<LogServer> {
+        let listener = tokio::net::TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let app = Router::new()
+            .route("/streams/{name}", post(append).get(read))
+            .route("/faults", post(set_faults))
+            .route("/counts", get(counts))
+            .with_state(log.clone());
+        let (stop, mut stopped) = watch::channel(false);
+        let task = tokio::spawn(async move {
+            tokio::select! {
+                res = async { axum::serve(listener, app).await } => {
+                    if let Err(e) = res {
+                        ::log::error!("log stand-in stopped: {e}");
+                    }
+                }
+                _ = stopped.changed() => {}
+            }
+        });
+        Ok(LogServer {
+            addr,
+            log,
+            stop,
+            task,
+        })
+    }
+
+    /// Returns the bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns the URL for [`plat::HttpLog::new`].
+    pub fn url(&self) -> String {
+        format!("http://{}", self.addr)
+    }
+
+    /// Returns the served log.
+    pub fn log(&self) -> &FakeLog {
+        &self.log
+    }
+
+    /// Closes the listener and joins the server.
+    pub async fn stop(self) {
+        let _ = self.stop.send(true);
+        let _ = self.task.await;
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct ReadParams {
+    from: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+/// Calls taken by the stand-in.
+#[derive(Debug, Serialize)]
+struct Counts {
+    appends: u64,
+    reads: u64,
+}
+
+async fn append(
+    State(log): State<FakeLog>,
+    Path(name): Path<String>,
+    Json(body): Json<Append>,
+) -> Response {
+    let Ok(records) = Vec::<Vec<u8>>::try_from(body) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    match log.append_delayed(&name, records).await {
+        Ok(first) => Json(Appended { first: first.0 }).into_response(),
+        Err(e) => failure(&e),
+    }
+}
+
+async fn read(
+    State(log): State<FakeLog>,
+    Path(name): Path<String>,
+    Query(params): Query<ReadParams>,
+) -> Response {
+    let wait = Duration::from_millis(params.wait_ms);
+    match log.read_waiting(&name, Offset(params.from), wait).await {
+        Ok(batch) => Json(Page::from(&batch)).into_response(),
+        Err(e) => failure(&e),
+    }
+}
+
+async fn set_faults(State(log): State<FakeLog>, Json(faults): Json<LogFaults>) -> StatusCode {
+    log.set_faults(faults);
+    StatusCode::NO_CONTENT
+}
+
+async fn counts(State(log): State<FakeLog>) -> Json<Counts> {
+    Json(Counts {
+        appends: log.appends(),
+        reads: log.reads(),
+    })
+}
+
+fn failure(e: &LogError) -> Response {
+    match e {
+        LogError::Refused { status } => StatusCode::from_u16(*status)
+            .unwrap_or(StatusCode::SERVICE_UNAVAILABLE)
+            .into_response(),
+        LogError::NoAnswer { .. } => StatusCode::GATEWAY_TIMEOUT.into_response(),
+        LogError::Expired { oldest, .. } => {
+            let page = Page {
+                oldest: oldest.0,
+                ..Page::default()
+            };
+            (StatusCode::GONE, Json(page)).into_response()
+        }
+    }
+}
--- /dev/null
+++ b/crates/plat/src/http.rs
@@ -0,0 +1,138 @@
+//! The log over HTTP.
+
+use std::time::Duration;
+
+use reqwest::{Response, StatusCode};
+use snafu::ResultExt;
+use wire::Offset;
+
+use crate::message::{Append, Appended, Page};
+use crate::{Batch, BoxFuture, Log, LogError};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// An append that takes longer counts as unanswered.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
+/// Added to the wait of a long poll.
+const READ_MARGIN: Duration = Duration::from_secs(2);
+
+/// Client of a log that offers `POST /streams/{name}` and `GET /streams/{name}`.
+#[derive(Clone, Debug)]
+pub struct HttpLog {
+    base: String,
+    client: reqwest::Client,
+}
+
+/// The HTTP client could not be set up.
+#[derive(Debug, snafu::Snafu)]
+#[snafu(display("cannot set up the log's HTTP client: {source}"))]
+pub struct ClientError {
+    source: reqwest::Error,
+}
+
+impl HttpLog {
+    /// Makes a client of the log at `base`, for example `http://127.0.0.1:7000`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the HTTP client can't be set up.
+    pub fn new(base: &str) -> Result<HttpLog, ClientError> {
+        let client = reqwest::Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .no_proxy()
+            .build()
+            .context(ClientSnafu)?;
+        Ok(HttpLog {
+            base: base.trim_end_matches('/').to_owned(),
+            client,
+        })
+    }
+
+    fn url(&self, stream: &str) -> String {
+        format!("{}/streams/{stream}", self.base)
+    }
+
+    async fn append_records(
+        &self,
+        stream: &str,
+        records: Vec<Vec<u8>>,
+    ) -> Result<Offset, LogError> {
+        let req = self.client.post(self.url(stream)).timeout(APPEND_TIMEOUT);
+        let sent = req.json(&Append::from(records)).send().await;
+        let res = sent.map_err(|e| {
+            // A failed connect is the one transport error after which nothing can be written.
+            if e.is_connect() {
+                LogError::Refused { status: 503 }
+            } else {
+                no_answer(e)
+            }
+        })?;
+        let appended: Appended = success(res)?.json().await.map_err(no_answer)?;
+        Ok(Offset(appended.first))
+    }
+
+    async fn read_records(
+        &self,
+        stream: &str,
+        from: Offset,
+        wait: Duration,
+    ) -> Result<Batch, LogError> {
+        let url = format!(
+            "{}?from={from}&wait_ms={}",
+            self.url(stream),
+            wait.as_millis()
+        );
+        let req = self.client.get(url).timeout(wait + READ_MARGIN);
+        let res = req.send().await.map_err(no_answer)?;
+        if res.status() == StatusCode::GONE {
+            let page: Page = res.json().await.map_err(no_answer)?;
+            return Err(LogError::Expired {
+                from,
+                oldest: Offset(page.oldest),
+            });
+        }
+        let page: Page = success(res)?.json().await.map_err(no_answer)?;
+        page.try_into().map_err(no_answer)
+    }
+}
+
+impl Log for HttpLog {
+    fn append<'a>(
+        &'a self,
+        stream: &'a str,
+        records: Vec<Vec<u8>>,
+    ) -> BoxFuture<'a, Result<Offset, LogError>> {
+        Box::pin(self.append_records(stream, records))
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a str,
+        from: Offset,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Batch, LogError>> {
+        Box::pin(self.read_records(stream, from, wait))
+    }
+}
+
+fn success(res: Response) -> Result<Response, LogError> {
+    let status = res.status();
+    if status.is_success() {
+        return Ok(res);
+    }
+    // A gateway in front of the log may answer 502 or 504 after the log took the append.
+    if status == StatusCode::BAD_GATEWAY || status == StatusCode::GATEWAY_TIMEOUT {
+        return Err(LogError::NoAnswer {
+            reason: format!("HTTP status {status}"),
+        });
+    }
+    Err(LogError::Refused {
+        status: status.as_u16(),
+    })
+}
+
+fn no_answer(e: impl std::fmt::Display) -> LogError {
+    LogError::NoAnswer {
+        reason: e.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/code.rs
@@ -0,0 +1,167 @@
+//! Numbered result codes. The table for operators is `docs/codes.md`.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Whether the operation that a refused request names may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Executed {
+    /// Nothing was handed to a target.
+    No,
+    /// The request was handed to a target and its outcome isn't known.
+    Unknown,
+    /// The operation ran to its end, under this request or an earlier one with the same key.
+    Yes,
+}
+
+impl Executed {
+    /// Returns the value of the `executed` member and of the `briarlug-executed` header.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Executed::No => "no",
+            Executed::Unknown => "unknown",
+            Executed::Yes => "yes",
+        }
+    }
+}
+
+macro_rules! codes {
+    ($($(#[$doc:meta])* $name:ident = $num:literal, $http:expr, $exec:expr, $title:literal;)*) => {
+        /// A numbered result code.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[repr(u16)]
+        pub enum Code { $($(#[$doc])* $name = $num,)* }
+
+        impl Code {
+            /// All codes in ascending order.
+            pub const ALL: &'static [Code] = &[$(Code::$name),*];
+
+            /// Returns the HTTP status of a refusal with this code, if callers can see it.
+            pub const fn http_status(self) -> Option<u16> {
+                match self { $(Code::$name => $http,)* }
+            }
+
+            /// Returns whether the refused operation may have run, if callers can see the code.
+            pub const fn executed(self) -> Option<Executed> {
+                match self { $(Code::$name => $exec,)* }
+            }
+
+            /// Returns a short description.
+            pub const fn title(self) -> &'static str {
+                match self { $(Code::$name => $title,)* }
+            }
+        }
+    };
+}
+
+const NO: Option<Executed> = Some(Executed::No);
+const UNKNOWN: Option<Executed> = Some(Executed::Unknown);
+const YES: Option<Executed> = Some(Executed::Yes);
+
+codes! {
+    /// The node has no configuration in force, or is below its floor.
+    NotReady = 101, Some(503), NO, "not ready";
+    /// No route matches the request.
+    NoRoute = 102, Some(404), NO, "no route";
+    /// The route's service is outside this node's scope.
+    OutOfScope = 103, Some(421), NO, "out of scope";
+    /// No instance of the service can take the request.
+    NoInstance = 104, Some(503), NO, "no instance";
+    /// The deadline passed before the request was handed to a target.
+    DeadlinePassed = 105, Some(504), NO, "deadline passed before hand-over";
+    /// A request header can't be read.
+    BadHeader = 106, Some(400), NO, "bad request header";
+    /// Each attempt was refused or failed before the hand-over.
+    AttemptsUsedUp = 107, Some(503), NO, "attempts used up";
+    /// The request is quarantined because it crashed targets.
+    Quarantined = 108, Some(422), NO, "quarantined request";
+    /// The target's queue is full.
+    QueueFull = 201, Some(429), NO, "queue full";
+    /// The request can't start before its deadline.
+    CannotStartInTime = 202, Some(503), NO, "cannot start before the deadline";
+    /// The target or its node is draining.
+    Draining = 203, Some(503), NO, "draining";
+    /// The target is down.
+    TargetDown = 204, Some(503), NO, "target down";
+    /// The caller is over its fair share of the target.
+    OverFairShare = 205, Some(429), NO, "over fair share";
+    /// The target's connection broke after the hand-over.
+    TargetLost = 301, Some(502), UNKNOWN, "target lost after hand-over";
+    /// The target didn't answer in time after the hand-over.
+    TargetTimeout = 302, Some(504), UNKNOWN, "target timed out after hand-over";
+    /// The node beside the target was lost after the request was sent to it.
+    PeerLost = 303, Some(502), UNKNOWN, "peer lost after hand-over";
+    /// The claim log didn't settle the claim in time.
+    ClaimUnavailable = 401, Some(503), NO, "claim log unavailable";
+    /// Another request with the same key is running.
+    ClaimHeld = 402, Some(409), UNKNOWN, "claim held by another request";
+    /// An earlier request with the same key has no known outcome.
+    OutcomeUnknown = 403, Some(409), UNKNOWN, "outcome unknown";
+    /// The key's time is outside the claim window.
+    KeyExpired = 404, Some(422), NO, "key expired";
+    /// The key was used for a different request.
+    KeyMismatch = 405, Some(422), NO, "key used for another request";
+    /// The route requires a key.
+    KeyMissing = 406, Some(428), NO, "key missing";
+    /// The operation has run; its answer was too large to keep.
+    AlreadyRun = 407, Some(409), YES, "already run, answer not kept";
+    /// The publication was edited from a version that is no longer current.
+    StaleBase = 501, None, None, "stale base";
+    /// The text isn't TOML of this format.
+    TextUnreadable = 502, None, None, "text not readable";
+    /// The text breaks a rule.
+    TextInvalid = 503, None, None, "text not valid";
+    /// The text is over the size limit.
+    TextTooLarge = 504, None, None, "text too large";
+    /// The text names another mesh.
+    TextForeign = 505, None, None, "text for another mesh";
+    /// A control message has a bad MAC or an unknown key number.
+    BadMac = 601, None, None, "bad MAC or unknown key";
+    /// A control message belongs to another mesh.
+    ForeignMesh = 602, None, None, "foreign mesh";
+    /// A control message has an unknown wire version.
+    WireVersion = 603, None, None, "unknown wire version";
+    /// A control message can't be decoded.
+    Malformed = 604, None, None, "malformed message";
+    /// A control message is over the size limit.
+    Oversized = 605, None, None, "oversized message";
+}
+
+impl Code {
+    /// Returns the number of the code.
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// Returns the code with this number.
+    pub fn from_number(n: u16) -> Option<Code> {
+        Code::ALL.iter().copied().find(|c| c.number() == n)
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.title())
+    }
+}
+
+/// A refusal of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The reason.
+    pub code: Code,
+    /// When a repeat is worth a try.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<Code> for Refusal {
+    fn from(code: Code) -> Refusal {
+        Refusal {
+            code,
+            retry_after: None,
+        }
+    }
+}
