Add the frame of the benchmark program

Cause: the cases for admission and routing are written side by side and need one clock, one figure type and one report. Bounds are part of a figure, so a run can fail by itself. Measured: nothing yet, the cases are empty.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,2 +1,82 @@
 //! Deterministic cases for the decision code and wall-clock cases on loopback.
-fn main() {}
+
+mod crest;
+mod figure;
+mod head_of_line;
+mod schedule;
+mod straggler;
+
+use std::process::ExitCode;
+
+use figure::Figure;
+
+const USAGE: &str = "
+Run the benchmark cases and compare each figure with its bound.
+
+Usage:
+    bench [--check] [--wall] [--baseline] [--seed N] [--json FILE]
+
+Options:
+    --check      Run the deterministic cases on a virtual clock; exit 1 beyond a bound.
+    --wall       Run the cases with real sockets on loopback; print bounds, never fail.
+    --baseline   Run the same load under simple baseline policies, side by side.
+    --seed N     Seed of the arrivals and the random choices [default: 1].
+    --json FILE  Write the figures to FILE as JSON lines.
+";
+
+#[derive(Debug)]
+struct Args {
+    check: bool,
+    baseline: bool,
+    seed: u64,
+    json: Option<String>,
+}
+
+fn parse() -> Result<Args, pico_args::Error> {
+    let mut args = pico_args::Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        println!("{}", USAGE.trim());
+        std::process::exit(0);
+    }
+    Ok(Args {
+        check: args.contains("--check"),
+        baseline: args.contains("--baseline"),
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+        json: args.opt_value_from_str("--json")?,
+    })
+}
+
+fn main() -> ExitCode {
+    let args = match parse() {
+        Ok(args) => args,
+        Err(e) => {
+            eprintln!("bench: {e}\n{}", USAGE.trim());
+            return ExitCode::from(2);
+        }
+    };
+    let mut figures = Vec::new();
+    if args.check || args.baseline {
+        figures.extend(head_of_line::run(args.seed, args.baseline));
+        figures.extend(crest::run(args.seed, args.baseline));
+        figures.extend(straggler::run(args.seed, args.baseline));
+    }
+    report(&figures, args.json.as_deref())
+}
+
+fn report(figures: &[Figure], json: Option<&str>) -> ExitCode {
+    for f in figures {
+        println!("{f}");
+    }
+    if let Some(path) = json {
+        let lines: String = figures.iter().map(|f| f.to_json() + "\n").collect();
+        if let Err(e) = std::fs::write(path, lines) {
+            eprintln!("bench: cannot write {path}: {e}");
+            return ExitCode::from(2);
+        }
+    }
+    if figures.iter().any(Figure::fails) {
+        ExitCode::FAILURE
+    } else {
+        ExitCode::SUCCESS
+    }
+}
--- /dev/null
+++ b/crates/bench/src/straggler.rs
@@ -0,0 +1,7 @@
+//! Case `straggler`.
+
+use crate::figure::Figure;
+
+pub(crate) fn run(_seed: u64, _baseline: bool) -> Vec<Figure> {
+    Vec::new()
+}
