--- a/crates/bench/src/figure.rs
+++ b/crates/bench/src/figure.rs
@@ -42,8 +42,8 @@
     /// Returns whether the figure is beyond its bound. NaN is beyond every bound.
     pub(crate) fn fails(&self) -> bool {
         match self.bound {
-            Bound::AtMost(b) => !(self.value <= b),
-            Bound::AtLeast(b) => !(self.value >= b),
+            Bound::AtMost(b) => self.value.is_nan() || self.value > b,
+            Bound::AtLeast(b) => self.value.is_nan() || self.value < b,
             Bound::None => false,
         }
     }
