Draft the node's request path and the commands

Cause: the whole path needs settings, listeners, admission and hand-over round the core, and commands to start and to publish. Not wired up yet: the crate node has no lib.rs for these files. Measured: nothing.

--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -144,6 +144,12 @@
         *self.shared.stop.borrow()
     }
 
+    /// Waits until the target has crashed or was stopped.
+    pub async fn wait_down(&self) {
+        let mut stopped = self.shared.stop.subscribe();
+        let _ = stopped.wait_for(|s| *s).await;
+    }
+
     /// Stops the target and joins it; connections in progress break.
     pub async fn stop(self) -> TargetStats {
         let _ = self.shared.stop.send(true);
--- /dev/null
+++ b/crates/node/src/gate.rs
@@ -0,0 +1,169 @@
+//! Waiting for a slot of the target: the timers and wake-ups round [`Admission`].
+
+use std::sync::Arc;
+
+use admit::{Admission, Event, Finish, Key, Limits, Offer, Verdict};
+use parking_lot::Mutex;
+use slotmap::SecondaryMap;
+use tokio::sync::{Notify, oneshot, watch};
+use wire::{Code, Load, Refusal};
+
+use crate::clock::Clock;
+
+type Decision = Result<(), Refusal>;
+
+/// The admission of the target beside this node.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    clock: Clock,
+    inner: Mutex<Inner>,
+    /// Signals that the next wake-up may have moved.
+    changed: Notify,
+}
+
+#[derive(Debug)]
+struct Inner {
+    admission: Admission,
+    waiting: SecondaryMap<Key, oneshot::Sender<Decision>>,
+}
+
+impl Inner {
+    fn pump(&mut self, clock: Clock) {
+        for event in self.admission.poll(clock.now()) {
+            let (key, decision) = match event {
+                Event::Start(key) => (key, Ok(())),
+                Event::Refuse(key, refusal) => (key, Err(refusal)),
+            };
+            if let Some(tx) = self.waiting.remove(key) {
+                let _ = tx.send(decision);
+            }
+        }
+    }
+}
+
+impl Gate {
+    pub(crate) fn new(clock: Clock, limits: Limits) -> Arc<Gate> {
+        let admission = Admission::new(limits, clock.now());
+        let inner = Mutex::new(Inner { admission, waiting: SecondaryMap::new() });
+        Arc::new(Gate { clock, inner, changed: Notify::new() })
+    }
+
+    /// Waits for a slot.
+    pub(crate) async fn enter(self: &Arc<Self>, offer: &Offer) -> Result<Permit, Refusal> {
+        let mut waiter = {
+            let mut inner = self.inner.lock();
+            match inner.admission.offer(self.clock.now(), offer) {
+                Verdict::Run(key) => return Ok(self.permit(key)),
+                Verdict::Refuse(refusal) => return Err(refusal),
+                Verdict::Queue(key) => {
+                    let (tx, rx) = oneshot::channel();
+                    inner.waiting.insert(key, tx);
+                    Waiter { gate: self.clone(), key, rx: Some(rx) }
+                }
+            }
+        };
+        self.changed.notify_one();
+        let Some(rx) = waiter.rx.as_mut() else { return Err(Code::CannotStartInTime.into()) };
+        let decision = rx.await;
+        waiter.rx = None;
+        match decision {
+            Ok(Ok(())) => Ok(self.permit(waiter.key)),
+            Ok(Err(refusal)) => Err(refusal),
+            Err(_) => Err(Code::CannotStartInTime.into()),
+        }
+    }
+
+    pub(crate) fn load(&self) -> Load {
+        self.inner.lock().admission.load()
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        self.inner.lock().admission.is_idle()
+    }
+
+    pub(crate) fn set_limits(&self, limits: Limits) {
+        self.update(|a, clock| a.set_limits(clock.now(), limits));
+    }
+
+    pub(crate) fn drain(&self) {
+        self.update(|a, clock| a.drain(clock.now()));
+    }
+
+    pub(crate) fn resume(&self) {
+        self.update(|a, clock| a.resume(clock.now()));
+    }
+
+    /// Decides waiting requests when their time comes, until `stop`.
+    pub(crate) async fn run_timer(self: Arc<Self>, mut stop: watch::Receiver<bool>) {
+        while !*stop.borrow() {
+            let wake = self.inner.lock().admission.next_wake();
+            let sleep = async {
+                match wake {
+                    Some(at) => tokio::time::sleep_until(self.clock.instant(at)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = sleep => {}
+                () = self.changed.notified() => {}
+                _ = stop.changed() => {}
+            }
+            self.inner.lock().pump(self.clock);
+        }
+    }
+
+    fn permit(self: &Arc<Self>, key: Key) -> Permit {
+        Permit { gate: self.clone(), key, ok: false }
+    }
+
+    fn update(&self, f: impl FnOnce(&mut Admission, Clock)) {
+        let mut inner = self.inner.lock();
+        f(&mut inner.admission, self.clock);
+        inner.pump(self.clock);
+        drop(inner);
+        self.changed.notify_one();
+    }
+}
+
+/// A request in the queue; leaves it when dropped.
+struct Waiter {
+    gate: Arc<Gate>,
+    key: Key,
+    rx: Option<oneshot::Receiver<Decision>>,
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        let Some(mut rx) = self.rx.take() else { return };
+        let key = self.key;
+        self.gate.inner.lock().waiting.remove(key);
+        match rx.try_recv() {
+            // The slot was given while the caller went away.
+            Ok(Ok(())) => drop(self.gate.permit(key)),
+            Ok(Err(_)) => {}
+            Err(_) => self.gate.update(|a, clock| a.cancel(clock.now(), key)),
+        }
+    }
+}
+
+/// A slot of the target; given back when dropped.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    gate: Arc<Gate>,
+    key: Key,
+    ok: bool,
+}
+
+impl Permit {
+    /// Gives the slot back after a whole answer.
+    pub(crate) fn finish_ok(mut self) {
+        self.ok = true;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let (key, ok) = (self.key, self.ok);
+        self.gate.update(|a, clock| a.finish(clock.now(), key, Finish { ok }));
+    }
+}
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,62 @@
+//! Requests from other nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::{Request, State};
+use axum::http::HeaderMap;
+use axum::response::Response;
+use ops::{Metric, ParentContext};
+use wire::{Code, Refusal};
+
+use crate::beside::{self, Hop};
+use crate::body::Inbound;
+use crate::headers::{HOP, HopMeta, strip_hop_by_hop, strip_own, verify_hop};
+use crate::problem;
+use crate::shared::Shared;
+
+/// Time for the first part of a request's body to arrive when the deadline allows more.
+const MAX_BODY_WAIT: Duration = Duration::from_secs(30);
+
+/// Routes of the peers' listener.
+pub(crate) fn router(shared: Arc<Shared>) -> Router {
+    Router::new().fallback(handle).with_state(shared)
+}
+
+async fn handle(State(shared): State<Arc<Shared>>, req: Request) -> Response {
+    shared.metrics.count(Metric::Hops);
+    match read(&shared, req).await {
+        Ok(hop) => beside::serve(&shared, hop).await,
+        Err(refusal) => problem::response(refusal),
+    }
+}
+
+async fn read(shared: &Arc<Shared>, req: Request) -> Result<Hop, Refusal> {
+    let (parts, body) = req.into_parts();
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
+    let raw = text(&parts.headers, HOP).ok_or(Code::BadHeader)?;
+    let mac = text(&parts.headers, wire::HOP_MAC).ok_or(Code::BadHeader)?;
+    if !verify_hop(&shared.settings.keys, &parts.method, &path, raw, mac) {
+        shared.metrics.count(Metric::DroppedBadMac);
+        return Err(Code::BadHeader.into());
+    }
+    let meta = HopMeta::decode(raw).ok_or(Code::BadHeader)?;
+    let deadline = shared.clock.now() + meta.remaining;
+    let parent = ParentContext::parse(text(&parts.headers, "traceparent").unwrap_or_default());
+    let key = text(&parts.headers, "idempotency-key").map(str::to_owned);
+    let mut headers = parts.headers;
+    strip_hop_by_hop(&mut headers);
+    strip_own(&mut headers);
+    headers.remove(axum::http::header::HOST);
+    let wait = meta.remaining.min(MAX_BODY_WAIT);
+    let body = tokio::time::timeout(wait, Inbound::read(body))
+        .await
+        .map_err(|_| Code::DeadlinePassed)?
+        .map_err(|_| Code::BadHeader)?;
+    Ok(Hop { method: parts.method, path, headers, meta, deadline, body, key, parent })
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/node/src/services.rs
@@ -0,0 +1,164 @@
+//! What this node knows of each service in its scope, for the choice of instances.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+use route::{
+    Ask, Attempts, Denial, Failure, Hedge, HedgeCfg, Outcome, Pick, Picker, PickerCfg, RetryBudget,
+    RouteKey, Ticket, View,
+};
+use wire::{Domain, InstanceId, ServiceName, Time};
+
+/// Deciding state of one service. One lock: each call holds it for less than a microsecond.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    picker: Picker,
+    retries: RetryBudget,
+    hedge: Hedge,
+    addresses: BTreeMap<InstanceId, SocketAddr>,
+}
+
+/// An instance chosen for an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Chosen {
+    pub(crate) pick: Pick,
+    pub(crate) addr: SocketAddr,
+    pub(crate) ticket: Ticket,
+}
+
+impl ServiceState {
+    fn new(own: &Domain, node: InstanceId, seed: u64) -> ServiceState {
+        let cfg = PickerCfg::new(own.clone(), node);
+        let inner = Inner {
+            picker: Picker::new(cfg, seed),
+            retries: RetryBudget::default(),
+            hedge: Hedge::new(HedgeCfg::default()),
+            addresses: BTreeMap::new(),
+        };
+        ServiceState { inner: Mutex::new(inner) }
+    }
+
+    pub(crate) fn request(&self, now: Time) {
+        let mut inner = self.inner.lock();
+        inner.retries.request(now);
+        inner.hedge.request(now);
+    }
+
+    /// Picks an instance and counts the attempt as begun.
+    pub(crate) fn begin(&self, now: Time, ask: &Ask<'_>) -> Option<Chosen> {
+        let mut inner = self.inner.lock();
+        let pick = inner.picker.pick(now, ask)?;
+        let addr = *inner.addresses.get(&pick.id)?;
+        let ticket = inner.picker.begin(now, &pick);
+        Some(Chosen { pick, addr, ticket })
+    }
+
+    pub(crate) fn end(&self, now: Time, ticket: Ticket, outcome: Outcome) {
+        self.inner.lock().picker.end(now, ticket, outcome);
+    }
+
+    pub(crate) fn may_retry(
+        &self,
+        now: Time,
+        attempts: &Attempts,
+        failure: &Failure,
+    ) -> Result<(), Denial> {
+        let mut inner = self.inner.lock();
+        let median = inner.picker.median();
+        inner.retries.may_retry(now, attempts, failure, median)
+    }
+
+    pub(crate) fn refund_retry(&self) {
+        self.inner.lock().retries.refund();
+    }
+
+    pub(crate) fn hedge_delay(&self, route: RouteKey) -> Option<Duration> {
+        self.inner.lock().hedge.delay(route)
+    }
+
+    /// Takes a token for a hedge and picks its instance.
+    pub(crate) fn begin_hedge(&self, now: Time, ask: &Ask<'_>) -> Option<Chosen> {
+        if !self.inner.lock().hedge.try_spend(now) {
+            return None;
+        }
+        let chosen = self.begin(now, ask);
+        if chosen.is_none() {
+            self.inner.lock().hedge.refund();
+        }
+        chosen
+    }
+
+    pub(crate) fn observe(&self, route: RouteKey, latency: Duration) {
+        self.inner.lock().hedge.observe(route, latency);
+    }
+
+    pub(crate) fn ejected(&self, now: Time) -> Vec<InstanceId> {
+        self.inner.lock().picker.ejected(now)
+    }
+
+    fn set_instances(&self, now: Time, views: &[View], addresses: BTreeMap<InstanceId, SocketAddr>) {
+        let mut inner = self.inner.lock();
+        inner.picker.set_instances(now, views);
+        inner.addresses = addresses;
+    }
+}
+
+/// An instance as membership reports it, with the address for requests.
+#[derive(Clone, Debug)]
+pub(crate) struct Instance {
+    pub(crate) service: ServiceName,
+    pub(crate) view: View,
+    pub(crate) addr: SocketAddr,
+}
+
+/// The services in scope.
+#[derive(Debug)]
+pub(crate) struct Services {
+    domain: Domain,
+    node: InstanceId,
+    seed: u64,
+    map: ArcSwap<BTreeMap<ServiceName, Arc<ServiceState>>>,
+}
+
+impl Services {
+    pub(crate) fn new(domain: Domain, node: InstanceId, seed: u64) -> Services {
+        Services { domain, node, seed, map: ArcSwap::default() }
+    }
+
+    pub(crate) fn get(&self, name: &ServiceName) -> Option<Arc<ServiceState>> {
+        self.map.load().get(name).cloned()
+    }
+
+    pub(crate) fn all(&self) -> Arc<BTreeMap<ServiceName, Arc<ServiceState>>> {
+        self.map.load_full()
+    }
+
+    /// Keeps the state of services that stay in scope, adds new ones, drops the others.
+    pub(crate) fn set_scope(&self, scope: &BTreeSet<ServiceName>) {
+        let old = self.map.load();
+        let state = |name: &ServiceName| match old.get(name) {
+            Some(s) => s.clone(),
+            None => Arc::new(ServiceState::new(&self.domain, self.node, self.seed)),
+        };
+        let new = scope.iter().map(|n| (n.clone(), state(n))).collect();
+        self.map.store(Arc::new(new));
+    }
+
+    pub(crate) fn set_instances(&self, now: Time, instances: &[Instance]) {
+        for (name, state) in self.map.load().iter() {
+            let own = instances.iter().filter(|i| i.service == *name);
+            let views: Vec<View> = own.clone().map(|i| i.view.clone()).collect();
+            let addresses = own.map(|i| (i.view.id, i.addr)).collect();
+            state.set_instances(now, &views, addresses);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/target.rs
@@ -0,0 +1,142 @@
+//! The target beside this node: announcements, health and the state derived from both.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::post;
+use axum::{Json, Router};
+use parking_lot::Mutex;
+use serde::Deserialize;
+use wire::{Code, ServiceName, Time};
+
+use crate::shared::Shared;
+
+/// An announcement that is not repeated for this long has lapsed.
+pub(crate) const ANNOUNCE_LEASE: Duration = Duration::from_secs(3);
+
+/// Where work for the target stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// No target has announced itself, or it has gone.
+    Down,
+    /// The target takes work.
+    Up,
+    /// The target finishes what it has.
+    Draining,
+}
+
+/// What the node knows of its target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Known {
+    addr: SocketAddr,
+    phase: Phase,
+    seen: Time,
+    /// Counts the target's starts, so that strikes of one life count once.
+    boot: u64,
+}
+
+/// The target beside this node.
+#[derive(Debug, Default)]
+pub(crate) struct Target {
+    known: Mutex<Option<Known>>,
+}
+
+impl Target {
+    pub(crate) fn phase(&self, now: Time) -> Phase {
+        match *self.known.lock() {
+            Some(k) if now - k.seen < ANNOUNCE_LEASE => k.phase,
+            _ => Phase::Down,
+        }
+    }
+
+    pub(crate) fn boot(&self) -> u64 {
+        self.known.lock().map_or(0, |k| k.boot)
+    }
+
+    /// Returns the address for new work, or why there is none.
+    pub(crate) fn address(&self, now: Time) -> Result<SocketAddr, Code> {
+        match *self.known.lock() {
+            Some(k) if now - k.seen >= ANNOUNCE_LEASE => Err(Code::TargetDown),
+            Some(Known { phase: Phase::Up, addr, .. }) => Ok(addr),
+            Some(Known { phase: Phase::Draining, .. }) => Err(Code::Draining),
+            _ => Err(Code::TargetDown),
+        }
+    }
+
+    /// Takes an announcement. A target that drains stays so until it leaves or moves.
+    pub(crate) fn announce(&self, now: Time, addr: SocketAddr) {
+        let mut known = self.known.lock();
+        let next = match *known {
+            Some(k) if k.addr == addr && k.phase != Phase::Down => Known { seen: now, ..k },
+            old => Known {
+                addr,
+                phase: Phase::Up,
+                seen: now,
+                boot: old.map_or(1, |k| k.boot + 1),
+            },
+        };
+        *known = Some(next);
+    }
+
+    pub(crate) fn set_phase(&self, phase: Phase) {
+        if let Some(k) = &mut *self.known.lock() {
+            k.phase = phase;
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Announce {
+    service: String,
+    addr: SocketAddr,
+}
+
+/// Routes of the target's listener.
+pub(crate) fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/announce", post(announce))
+        .route("/drain", post(drain))
+        .route("/leave", post(leave))
+        .with_state(shared)
+}
+
+async fn announce(
+    State(shared): State<Arc<Shared>>,
+    Json(body): Json<Announce>,
+) -> (StatusCode, String) {
+    let wanted = &shared.settings.service;
+    if ServiceName::from(body.service.as_str()) != *wanted {
+        return (StatusCode::CONFLICT, format!("this node serves {wanted}"));
+    }
+    let own = shared.settings.address;
+    if body.addr.ip() != own && !body.addr.ip().is_loopback() {
+        return (StatusCode::CONFLICT, format!("{} is not on this instance", body.addr));
+    }
+    let before = shared.target.phase(shared.clock.now());
+    shared.target.announce(shared.clock.now(), body.addr);
+    if before == Phase::Down {
+        log::info!("target up addr={}", body.addr);
+        shared.gate.resume();
+    }
+    shared.local_changed.notify_one();
+    (StatusCode::OK, String::new())
+}
+
+async fn drain(State(shared): State<Arc<Shared>>) -> StatusCode {
+    log::info!("target draining");
+    shared.target.set_phase(Phase::Draining);
+    shared.gate.drain();
+    shared.local_changed.notify_one();
+    StatusCode::OK
+}
+
+async fn leave(State(shared): State<Arc<Shared>>) -> StatusCode {
+    log::info!("target left");
+    shared.target.set_phase(Phase::Down);
+    shared.local_changed.notify_one();
+    StatusCode::OK
+}
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -128,6 +128,10 @@
     Malformed = 604, None, None, "malformed message";
     /// A control message is over the size limit.
     Oversized = 605, None, None, "oversized message";
+    /// The settings aren't TOML of the expected shape.
+    SettingsUnreadable = 701, None, None, "settings not readable";
+    /// A setting is out of range or unsafe.
+    SettingsInvalid = 702, None, None, "setting not valid";
 }
 
 impl Code {
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,92 @@
+//! `briarlug check`
+
+use config::Snapshot;
+use node::Settings;
+use pico_args::Arguments;
+use snafu::ResultExt;
+use wire::Version;
+
+use crate::util::{self, RejectedSnafu, Result, SettingsSnafu, print_out};
+
+pub(crate) const USAGE: &str = "\
+Check a text or settings offline.
+
+Usage:
+    briarlug check FILE [OTHER]
+    briarlug check --settings FILE
+
+Prints the services and routes of the text FILE, or its first fault with code,
+line and column. With OTHER, also the difference from OTHER to FILE.
+
+Options:
+    --settings FILE  Check the settings of a node instead.
+";
+
+enum Args {
+    Settings(String),
+    Text { file: String, other: Option<String> },
+}
+
+fn parse(mut args: Arguments) -> Result<Args> {
+    let settings: Option<String> = util::optional(&mut args, "--settings")?;
+    let args = match settings {
+        Some(file) => {
+            util::finish(args, &["--settings"])?;
+            return Ok(Args::Settings(file));
+        }
+        None => args,
+    };
+    let mut free = util::free(args, &["--settings"], 2)?.into_iter();
+    let file = free.next().ok_or_else(|| util::usage("a FILE is needed"))?;
+    Ok(Args::Text {
+        file,
+        other: free.next(),
+    })
+}
+
+pub(crate) fn run(args: Arguments) -> Result<()> {
+    match parse(args)? {
+        Args::Settings(file) => check_settings(&file),
+        Args::Text { file, other } => check_text(&file, other.as_deref()),
+    }
+}
+
+fn check_settings(file: &str) -> Result<()> {
+    let text = util::read_file(file)?;
+    let s = Settings::try_from(text.as_str()).context(SettingsSnafu)?;
+    print_out(&format!(
+        "{file}: ok, instance {} in {} of {}\n",
+        s.name, s.domain, s.mesh
+    ))
+}
+
+fn check_text(file: &str, other: Option<&str>) -> Result<()> {
+    let text = util::read_file(file)?;
+    let mesh = util::mesh_of(&text)?;
+    let snapshot =
+        Snapshot::compile(Version(1), &mesh, text.as_str()).context(RejectedSnafu { file })?;
+    let mut out = summary(file, &snapshot);
+    if let Some(other) = other {
+        out.push_str(&config::diff(&util::read_file(other)?, &text));
+    }
+    print_out(&out)
+}
+
+fn summary(file: &str, s: &Snapshot) -> String {
+    let (services, routes) = (s.services().count(), s.routes().len());
+    let mut out = format!(
+        "{file}: ok, mesh {}, {services} services, {routes} routes\n",
+        s.mesh()
+    );
+    for route in s.routes() {
+        out.push_str(&format!(
+            "  {:<24} {:<16} {:?}, {:?}, {} ms\n",
+            route.prefix,
+            route.service,
+            route.repeat,
+            route.class,
+            route.timeout.as_millis()
+        ));
+    }
+    out
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,39 @@
+//! The commands, one file each.
+
+use pico_args::Arguments;
+
+use crate::util::{CliError, Result, nearest};
+
+pub(crate) mod check;
+pub(crate) mod demo;
+pub(crate) mod fake;
+pub(crate) mod help;
+pub(crate) mod node;
+pub(crate) mod publish;
+pub(crate) mod status;
+
+const NAMES: [&str; 7] = ["check", "demo", "fake", "help", "node", "publish", "status"];
+
+/// Runs the command `name` with the remaining arguments.
+pub(crate) fn dispatch(name: &str, mut args: Arguments) -> Result<()> {
+    if args.contains(["-h", "--help"]) {
+        return help::show(name);
+    }
+    match name {
+        "check" => check::run(args),
+        "demo" => demo::run(args),
+        "fake" => fake::run(args),
+        "help" => help::run(args),
+        "node" => node::run(args),
+        "publish" => publish::run(args),
+        "status" => status::run(args),
+        _ => Err(unknown(name)),
+    }
+}
+
+fn unknown(name: &str) -> CliError {
+    let hint = nearest(name, &NAMES).map_or(String::new(), |n| format!("; did you mean '{n}'?"));
+    CliError::Usage {
+        reason: format!("unknown command '{name}'{hint}"),
+    }
+}
--- /dev/null
+++ b/src/cmd/node.rs
@@ -0,0 +1,51 @@
+//! `briarlug node`
+
+use std::sync::Arc;
+
+use node::{Node, Settings};
+use pico_args::Arguments;
+use plat::HttpLog;
+use snafu::ResultExt;
+
+use crate::util::{self, IoSnafu, Result, SettingsSnafu};
+
+pub(crate) const USAGE: &str = "\
+Run a node beside a target.
+
+Usage:
+    briarlug node --settings FILE
+
+Options:
+    --settings FILE  Settings in TOML; see docs/settings.md.
+
+SIGTERM or SIGINT starts a graceful shutdown: new work is refused, requests in
+progress end, then the node exits with code 0.
+";
+
+struct Args {
+    settings: String,
+}
+
+fn parse(mut args: Arguments) -> Result<Args> {
+    let settings = util::required(&mut args, "--settings")?;
+    util::finish(args, &["--settings"])?;
+    Ok(Args { settings })
+}
+
+pub(crate) fn run(args: Arguments) -> Result<()> {
+    let args = parse(args)?;
+    let text = util::read_file(&args.settings)?;
+    let settings = Settings::try_from(text.as_str()).context(SettingsSnafu)?;
+    ops::init_logs(settings.log_format);
+    util::runtime()?.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<()> {
+    let log = Arc::new(HttpLog::new(&settings.log_url).map_err(util::unreachable)?);
+    let node = Node::start(settings, log).await.map_err(util::failed)?;
+    util::shutdown_signal()
+        .await
+        .context(IoSnafu { what: "signals" })?;
+    node.shutdown().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,83 @@
+//! `briarlug status`
+
+use std::collections::BTreeMap;
+
+use node::StateReport;
+use pico_args::Arguments;
+
+use crate::util::{self, Result, print_out};
+
+pub(crate) const USAGE: &str = "\
+Show what a node knows of the mesh.
+
+Usage:
+    briarlug status --operator URL [--json]
+
+Options:
+    --operator URL  Operator listener of any node, for example
+                    http://127.0.0.1:7105.
+    --json          Print the node's state page as it is.
+";
+
+struct Args {
+    operator: String,
+    json: bool,
+}
+
+fn parse(mut args: Arguments) -> Result<Args> {
+    let json = args.contains("--json");
+    let operator = util::required(&mut args, "--operator")?;
+    util::finish(args, &["--operator", "--json"])?;
+    Ok(Args { operator, json })
+}
+
+pub(crate) fn run(args: Arguments) -> Result<()> {
+    let args = parse(args)?;
+    let state = util::runtime()?.block_on(fetch(&args.operator))?;
+    if args.json {
+        let json = serde_json::to_string_pretty(&state).map_err(util::failed)?;
+        return print_out(&(json + "\n"));
+    }
+    print_out(&table(&state))
+}
+
+/// Fetches the state page of a node.
+pub(crate) async fn fetch(operator: &str) -> Result<StateReport> {
+    let client = util::http_client()?;
+    let url = format!("{}/state", operator.trim_end_matches('/'));
+    let res = client.get(url).send().await.map_err(util::unreachable)?;
+    res.json().await.map_err(util::unreachable)
+}
+
+fn table(s: &StateReport) -> String {
+    let mut out = format!(
+        "{} service={} domain={} ready={} version={} digest={}\n",
+        s.name, s.service, s.domain, s.ready, s.version, s.digest
+    );
+    let mut domains: BTreeMap<&str, BTreeMap<u64, usize>> = BTreeMap::new();
+    for m in &s.members {
+        *domains
+            .entry(&m.domain)
+            .or_default()
+            .entry(m.version)
+            .or_default() += 1;
+    }
+    out.push_str("\nfailure domain           version  nodes\n");
+    for (domain, versions) in &domains {
+        for (version, nodes) in versions {
+            out.push_str(&format!("{domain:<24} {version:>7} {nodes:>6}\n"));
+        }
+    }
+    out.push_str("\nmember                   service          state     version ejected\n");
+    for m in &s.members {
+        let ejected = if m.ejected { "yes" } else { "" };
+        out.push_str(&format!(
+            "{:<24} {:<16} {:<9} {:>7} {ejected}\n",
+            m.name, m.service, m.state, m.version
+        ));
+    }
+    if !s.quarantined.is_empty() {
+        out.push_str(&format!("\nquarantined: {}\n", s.quarantined.join(" ")));
+    }
+    out
+}
