Add the configuration text, the fold of publications and deltas

Fold turns log records into versions; it holds back records that arrive early, bounded in number and bytes, and adopts a checkpoint only when expired records are missing from its state. Fold::apply returns a list, because one record can release those that waited for it, and a checkpoint replays what follows it. Fold::expired_before is the event by which a fold learns that records are gone. Ruled out: a hash map of prefixes for route_for (one hash per path segment, also for paths that match nothing); a tree of segments stops at the first segment without a child. Comparing large rewrites line by line in a delta (quadratic); over 2,000 changed lines the changed part is sent whole.

--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,291 @@
+//! The rules of text format 1.
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use toml::Spanned;
+use wire::{Code, Digest, Fingerprint, ServiceName, Version};
+
+use crate::limits::{
+    CLAIM_WINDOW_S, CONNECTIONS, DEFAULT_CLAIM_WINDOW_S, DEFAULT_QUEUE, DEFAULT_TIMEOUT_MS,
+    MAX_CHAIN, MAX_DEPENDS, MAX_NAME_BYTES, MAX_PREFIX_BYTES, MAX_ROUTES, MAX_SERVICES,
+    MAX_TEXT_BYTES, QUEUE, SLOTS, TEXT_FORMAT, TIMEOUT_MS,
+};
+use crate::raw::{RawFormat, RawRoute, RawService, RawText};
+use crate::rejection::Rejection;
+use crate::snapshot::{Methods, Repeat, Route, Service, Snapshot};
+use crate::table::Table;
+
+type Services = BTreeMap<ServiceName, Service>;
+
+pub(crate) fn compile(version: Version, mesh: &str, text: Arc<str>) -> Result<Snapshot, Rejection> {
+    let cx = Checker { text: &text };
+    let raw = cx.read()?;
+    if raw.mesh.get_ref() != mesh {
+        let reason = format!(
+            "the text is for mesh `{}`, not `{mesh}`",
+            raw.mesh.get_ref()
+        );
+        return Err(cx.reject(Code::TextForeign, &raw.mesh, reason));
+    }
+    let window = cx.number(
+        raw.claim_window_s.as_ref(),
+        CLAIM_WINDOW_S,
+        DEFAULT_CLAIM_WINDOW_S,
+    )?;
+    let services = cx.services(&raw.services)?;
+    let routes = cx.routes(&raw.routes, &services)?;
+    let table = Table::new(&routes);
+    Ok(Snapshot {
+        version,
+        digest: Digest::of(text.as_bytes()),
+        mesh: mesh.into(),
+        scope: raw.scope,
+        claim_window: Duration::from_secs(window.into()),
+        services,
+        routes,
+        table,
+        text,
+    })
+}
+
+struct Checker<'a> {
+    text: &'a str,
+}
+
+impl Checker<'_> {
+    fn read(&self) -> Result<RawText, Rejection> {
+        if self.text.len() > MAX_TEXT_BYTES {
+            let reason = format!("{} bytes, the limit is {MAX_TEXT_BYTES}", self.text.len());
+            return Err(Rejection::at(Code::TextTooLarge, self.text, 0, reason));
+        }
+        let format = self.parse::<RawFormat>()?.format;
+        if *format.get_ref() != TEXT_FORMAT {
+            let reason = format!(
+                "format {}, this build reads {TEXT_FORMAT}",
+                format.get_ref()
+            );
+            return Err(self.reject(Code::TextUnreadable, &format, reason));
+        }
+        self.parse()
+    }
+
+    fn parse<T: DeserializeOwned>(&self) -> Result<T, Rejection> {
+        toml::from_str(self.text).map_err(|e| {
+            let at = e.span().map_or(0, |s| s.start);
+            Rejection::at(Code::TextUnreadable, self.text, at, e.message())
+        })
+    }
+
+    fn reject<T>(&self, code: Code, at: &Spanned<T>, reason: impl Into<String>) -> Rejection {
+        Rejection::at(code, self.text, at.span().start, reason)
+    }
+
+    fn invalid<T>(&self, at: &Spanned<T>, reason: impl Into<String>) -> Rejection {
+        self.reject(Code::TextInvalid, at, reason)
+    }
+
+    fn number(
+        &self,
+        raw: Option<&Spanned<i64>>,
+        range: RangeInclusive<i64>,
+        default: u32,
+    ) -> Result<u32, Rejection> {
+        let Some(raw) = raw else { return Ok(default) };
+        let n = *raw.get_ref();
+        let in_range = range.contains(&n).then(|| u32::try_from(n).ok()).flatten();
+        in_range.ok_or_else(|| {
+            let reason = format!("{n} is not within {} to {}", range.start(), range.end());
+            self.invalid(raw, reason)
+        })
+    }
+
+    fn services(&self, raw: &[RawService]) -> Result<Services, Rejection> {
+        if let Some(over) = raw.get(MAX_SERVICES) {
+            return Err(self.invalid(&over.name, format!("more than {MAX_SERVICES} services")));
+        }
+        let mut services = Services::new();
+        for s in raw {
+            let service = self.service(s)?;
+            if services.insert(service.name.clone(), service).is_some() {
+                let reason = format!("service `{}` is defined twice", s.name.get_ref());
+                return Err(self.invalid(&s.name, reason));
+            }
+        }
+        for s in raw {
+            for (i, d) in s.depends.iter().enumerate() {
+                self.check_dependency(s, i, d, &services)?;
+            }
+        }
+        self.check_chains(raw, &services)?;
+        Ok(services)
+    }
+
+    fn service(&self, raw: &RawService) -> Result<Service, Rejection> {
+        if !is_name(raw.name.get_ref()) {
+            let reason = format!(
+                "a service name has 1 to {MAX_NAME_BYTES} characters of a-z, 0-9 and `-` and \
+                 starts with a letter"
+            );
+            return Err(self.invalid(&raw.name, reason));
+        }
+        if let Some(over) = raw.depends.get(MAX_DEPENDS) {
+            return Err(self.invalid(over, format!("more than {MAX_DEPENDS} dependencies")));
+        }
+        let slots = self.number(Some(&raw.slots), SLOTS, 0)?;
+        let connections = self.number(Some(&raw.connections), CONNECTIONS, 0)?;
+        if connections < slots {
+            return Err(self.invalid(&raw.connections, "fewer connections than slots"));
+        }
+        Ok(Service {
+            name: raw.name.get_ref().as_str().into(),
+            depends: raw
+                .depends
+                .iter()
+                .map(|d| d.get_ref().as_str().into())
+                .collect(),
+            slots,
+            connections,
+            queue: self.number(raw.queue.as_ref(), QUEUE, DEFAULT_QUEUE)?,
+        })
+    }
+
+    fn check_dependency(
+        &self,
+        s: &RawService,
+        i: usize,
+        dep: &Spanned<String>,
+        services: &Services,
+    ) -> Result<(), Rejection> {
+        let name = dep.get_ref();
+        if !services.contains_key(&ServiceName::from(name.as_str())) {
+            return Err(self.invalid(dep, format!("no service `{name}`")));
+        }
+        if s.depends[..i].iter().any(|d| d.get_ref() == name) {
+            return Err(self.invalid(dep, format!("dependency `{name}` is listed twice")));
+        }
+        Ok(())
+    }
+
+    /// Refuses cycles and chains of more than [`MAX_CHAIN`] services. Round n keeps the services
+    /// from which a chain of more than n services starts, so a cycle never leaves the set.
+    fn check_chains(&self, raw: &[RawService], services: &Services) -> Result<(), Rejection> {
+        let mut longer: Vec<&Service> = services.values().collect();
+        for _ in 0..MAX_CHAIN {
+            let names: std::collections::BTreeSet<_> = longer.iter().map(|s| &s.name).collect();
+            longer.retain(|s| s.depends.iter().any(|d| names.contains(d)));
+        }
+        let of_longer = |s: &&RawService| longer.iter().any(|l| *l.name.0 == **s.name.get_ref());
+        match raw.iter().find(of_longer) {
+            None => Ok(()),
+            Some(s) => {
+                let reason = format!(
+                    "the dependencies of `{}` form a cycle or a chain of more than {MAX_CHAIN} \
+                     services",
+                    s.name.get_ref()
+                );
+                Err(self.invalid(&s.name, reason))
+            }
+        }
+    }
+
+    fn routes(&self, raw: &[RawRoute], services: &Services) -> Result<Vec<Route>, Rejection> {
+        if let Some(over) = raw.get(MAX_ROUTES) {
+            return Err(self.invalid(&over.prefix, format!("more than {MAX_ROUTES} routes")));
+        }
+        let mut taken: BTreeMap<&str, Methods> = BTreeMap::new();
+        let mut routes = Vec::with_capacity(raw.len());
+        for r in raw {
+            let route = self.route(r, services)?;
+            let before = taken.entry(r.prefix.get_ref()).or_insert(Methods::NONE);
+            if before.overlaps(route.methods) {
+                let reason = format!("prefix `{}` has two routes for a method", route.prefix);
+                return Err(self.invalid(&r.prefix, reason));
+            }
+            *before = before.union(route.methods);
+            routes.push(route);
+        }
+        Ok(routes)
+    }
+
+    fn route(&self, raw: &RawRoute, services: &Services) -> Result<Route, Rejection> {
+        let prefix = raw.prefix.get_ref();
+        if !is_prefix(prefix) {
+            let reason = format!(
+                "a prefix is `/` or has `/` before each segment and none at its end; segments are \
+                 of letters, digits, `-`, `_`, `~`, `.` and not `.` or `..`; at most \
+                 {MAX_PREFIX_BYTES} bytes"
+            );
+            return Err(self.invalid(&raw.prefix, reason));
+        }
+        let service = ServiceName::from(raw.service.get_ref().as_str());
+        if !services.contains_key(&service) {
+            return Err(self.invalid(&raw.service, format!("no service `{service}`")));
+        }
+        let methods = self.methods(raw)?;
+        let reads = methods.only_reads();
+        let repeat = raw
+            .repeat
+            .unwrap_or(if reads { Repeat::Safe } else { Repeat::Never });
+        let timeout_ms = self.number(raw.timeout_ms.as_ref(), TIMEOUT_MS, DEFAULT_TIMEOUT_MS)?;
+        Ok(Route {
+            id: Fingerprint::of(&[prefix.as_bytes(), &[methods.bits()]]),
+            prefix: prefix.as_str().into(),
+            methods,
+            service,
+            repeat,
+            class: raw.class,
+            timeout: Duration::from_millis(timeout_ms.into()),
+            hedge: self.hedge(raw, repeat)?,
+        })
+    }
+
+    fn methods(&self, raw: &RawRoute) -> Result<Methods, Rejection> {
+        let Some(list) = &raw.methods else {
+            return Ok(Methods::ALL);
+        };
+        if list.get_ref().is_empty() {
+            return Err(self.invalid(list, "no methods listed; leave the key out to take all"));
+        }
+        let mut methods = Methods::NONE;
+        for name in list.get_ref() {
+            let Some(m) = Methods::named(name.get_ref()) else {
+                let reason = format!("a method is one of {}", Methods::NAMES.join(", "));
+                return Err(self.invalid(name, reason));
+            };
+            if methods.overlaps(m) {
+                return Err(self.invalid(name, "method listed twice"));
+            }
+            methods = methods.union(m);
+        }
+        Ok(methods)
+    }
+
+    fn hedge(&self, raw: &RawRoute, repeat: Repeat) -> Result<bool, Rejection> {
+        match &raw.hedge {
+            // A hedge runs the request twice.
+            Some(h) if *h.get_ref() && repeat == Repeat::Never => {
+                Err(self.invalid(h, "`hedge` needs `repeat = \"safe\"`"))
+            }
+            Some(h) => Ok(*h.get_ref()),
+            None => Ok(false),
+        }
+    }
+}
+
+fn is_name(s: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+    s.len() <= MAX_NAME_BYTES
+        && s.starts_with(|c: char| c.is_ascii_lowercase())
+        && s.bytes().all(allowed)
+}
+
+fn is_prefix(s: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_~.".contains(&b);
+    let is_segment = |seg: &str| !matches!(seg, "" | "." | "..") && seg.bytes().all(allowed);
+    let rest = s.strip_prefix('/');
+    s == "/" || s.len() <= MAX_PREFIX_BYTES && rest.is_some_and(|r| r.split('/').all(is_segment))
+}
--- /dev/null
+++ b/crates/config/src/delta.rs
@@ -0,0 +1,149 @@
+//! Differences between texts: [`Delta`] for nodes, [`diff`] for operators.
+
+use serde::{Deserialize, Serialize};
+use similar::{Algorithm, DiffOp, TextDiff, capture_diff_slices};
+use snafu::{OptionExt, Snafu, ensure};
+use wire::Digest;
+
+use crate::limits::MAX_TEXT_BYTES;
+
+/// Most changed lines that are compared one by one. The comparison is quadratic in the worst case;
+/// beyond this the changed part is sent whole.
+const MAX_COMPARED_LINES: usize = 2_000;
+/// Unchanged lines around a change in [`diff`].
+const CONTEXT_LINES: usize = 3;
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Edit {
+    /// Take this many lines of the base.
+    Keep(u32),
+    /// Pass over this many lines of the base.
+    Drop(u32),
+    /// Insert this text.
+    Add(String),
+}
+
+/// Line-based edits that turn one text into another, with the digests of both.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    base: Digest,
+    result: Digest,
+    edits: Vec<Edit>,
+}
+
+/// Why a delta was not used. The whole text has to be fetched instead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum DeltaError {
+    /// The delta starts from another text.
+    #[snafu(display("the delta is for another base"))]
+    OtherBase,
+    /// The edits don't fit the base or give a text that is too large or has another digest.
+    #[snafu(display("the delta gives another text"))]
+    OtherResult,
+}
+
+impl Delta {
+    /// Computes the edits that turn `old` into `new`.
+    pub fn between(old: &str, new: &str) -> Delta {
+        Delta {
+            base: Digest::of(old.as_bytes()),
+            result: Digest::of(new.as_bytes()),
+            edits: edits(&lines(old), &lines(new)),
+        }
+    }
+
+    /// Returns the digest of the text that the delta starts from.
+    pub fn base(&self) -> Digest {
+        self.base
+    }
+
+    /// Returns the digest of the text that the delta gives.
+    pub fn result(&self) -> Digest {
+        self.result
+    }
+
+    /// Applies the edits to `base`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the digest of `base` or of the result is not the expected one.
+    pub fn apply(&self, base: &str) -> Result<String, DeltaError> {
+        ensure!(Digest::of(base.as_bytes()) == self.base, OtherBaseSnafu);
+        let mut rest = lines(base).into_iter();
+        let mut out = String::new();
+        for e in &self.edits {
+            match e {
+                Edit::Keep(n) => {
+                    for _ in 0..*n {
+                        out.push_str(rest.next().context(OtherResultSnafu)?);
+                    }
+                }
+                Edit::Drop(n) => {
+                    for _ in 0..*n {
+                        rest.next().context(OtherResultSnafu)?;
+                    }
+                }
+                Edit::Add(text) => out.push_str(text),
+            }
+            ensure!(out.len() <= MAX_TEXT_BYTES, OtherResultSnafu);
+        }
+        ensure!(Digest::of(out.as_bytes()) == self.result, OtherResultSnafu);
+        Ok(out)
+    }
+}
+
+fn lines(text: &str) -> Vec<&str> {
+    text.split_inclusive('\n').collect()
+}
+
+fn edits(old: &[&str], new: &[&str]) -> Vec<Edit> {
+    let same = |(a, b): &(&&str, &&str)| a == b;
+    let head = old.iter().zip(new).take_while(same).count();
+    let (old, new) = (&old[head..], &new[head..]);
+    let tail = old
+        .iter()
+        .rev()
+        .zip(new.iter().rev())
+        .take_while(same)
+        .count();
+    let (old, new) = (&old[..old.len() - tail], &new[..new.len() - tail]);
+
+    let mut out = Vec::new();
+    push_count(&mut out, Edit::Keep, head);
+    if old.len().max(new.len()) > MAX_COMPARED_LINES {
+        push_count(&mut out, Edit::Drop, old.len());
+        out.push(Edit::Add(new.concat()));
+    } else {
+        for op in capture_diff_slices(Algorithm::Myers, old, new) {
+            push_op(&mut out, &op, new);
+        }
+    }
+    push_count(&mut out, Edit::Keep, tail);
+    out
+}
+
+fn push_op(out: &mut Vec<Edit>, op: &DiffOp, new: &[&str]) {
+    if let DiffOp::Equal { len, .. } = op {
+        return push_count(out, Edit::Keep, *len);
+    }
+    push_count(out, Edit::Drop, op.old_range().len());
+    let added = new[op.new_range()].concat();
+    if !added.is_empty() {
+        out.push(Edit::Add(added));
+    }
+}
+
+fn push_count(out: &mut Vec<Edit>, edit: fn(u32) -> Edit, n: usize) {
+    if n > 0 {
+        // A text of at most 1 MiB has fewer lines than a u32 can count.
+        out.push(edit(u32::try_from(n).unwrap_or(u32::MAX)));
+    }
+}
+
+/// Returns the difference of two texts in unified format, empty if there is none.
+pub fn diff(old: &str, new: &str) -> String {
+    TextDiff::from_lines(old, new)
+        .unified_diff()
+        .context_radius(CONTEXT_LINES)
+        .to_string()
+}
--- /dev/null
+++ b/crates/config/src/fold.rs
@@ -0,0 +1,359 @@
+//! The fold of the publication stream.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use wire::{Code, Digest, Offset, Version};
+
+use crate::id::PublicationId;
+use crate::limits::{MAX_RECENT_IDS, MAX_WAITING_BYTES, MAX_WAITING_RECORDS};
+use crate::record::{Checkpoint, Outcome, Publication, Record, RecordError, Settled};
+use crate::snapshot::Snapshot;
+
+/// What a record did to a [`Fold`].
+#[derive(Clone, Debug)]
+pub enum Applied {
+    /// The publication became the current version.
+    Accepted {
+        /// Identifier of the publication.
+        id: PublicationId,
+        /// The new version.
+        snapshot: Arc<Snapshot>,
+    },
+    /// The publication was refused.
+    Rejected {
+        /// Identifier of the publication.
+        id: PublicationId,
+        /// Reason of the refusal.
+        code: Code,
+    },
+    /// The publication has been settled before.
+    Repeated {
+        /// Identifier of the publication.
+        id: PublicationId,
+        /// What became of it the first time.
+        outcome: Outcome,
+    },
+    /// The record is a checkpoint that a fold with state doesn't need.
+    Checkpoint,
+    /// The fold took over the state of a checkpoint.
+    Adopted(Arc<Snapshot>),
+    /// A later build wrote the record. The fold has stopped before it.
+    Behind {
+        /// Format number of the record.
+        format: u8,
+    },
+    /// The record is held back until a checkpoint or an earlier record arrives.
+    Waiting,
+    /// The record's offset has been applied before, or a checkpoint covers it.
+    Passed,
+    /// The record doesn't follow its format and has no effect.
+    Malformed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Position {
+    /// Records before this offset are part of the state.
+    Next(Offset),
+    /// Records from this offset on can still be read, but earlier ones are missing from the state.
+    NeedsCheckpoint { from: Offset },
+}
+
+/// Turns the records of the publication stream into numbered versions.
+///
+/// The state depends only on the records up to the last applied offset, not on the order in which
+/// they arrive here or on where this fold started.
+#[derive(Clone, Debug)]
+pub struct Fold {
+    mesh: Arc<str>,
+    position: Position,
+    snapshot: Arc<Snapshot>,
+    recent: VecDeque<Settled>,
+    waiting: Waiting,
+    behind: Option<u8>,
+    checkpoint_as_of: Option<Offset>,
+}
+
+impl Fold {
+    /// Makes a fold for a stream that still has its first record.
+    pub fn new(mesh: &str) -> Fold {
+        Fold {
+            mesh: mesh.into(),
+            position: Position::Next(Offset(0)),
+            snapshot: Arc::new(Snapshot::empty(mesh)),
+            recent: VecDeque::new(),
+            waiting: Waiting::default(),
+            behind: None,
+            checkpoint_as_of: None,
+        }
+    }
+
+    /// Tells the fold that records before `oldest` have expired. If it lacks some of them, it holds
+    /// back what it reads until a checkpoint covers the gap. Its version stays until then. Returns
+    /// what records held back did, if one of them is such a checkpoint.
+    pub fn expired_before(&mut self, oldest: Offset) -> Vec<Applied> {
+        let from = match self.position {
+            Position::Next(next) => next,
+            Position::NeedsCheckpoint { from } => from,
+        };
+        if oldest <= from || self.behind.is_some() {
+            return Vec::new();
+        }
+        self.position = Position::NeedsCheckpoint { from: oldest };
+        self.waiting.drop_before(oldest);
+        let held = self.waiting.records.iter();
+        let usable = held
+            .filter_map(|(o, raw)| usable_checkpoint(oldest, *o, raw))
+            .next();
+        usable.map_or_else(Vec::new, |c| self.adopt(c))
+    }
+
+    /// Applies the record at `offset` and those that waited for it. Returns what each of them did,
+    /// in order of offset.
+    pub fn apply(&mut self, offset: Offset, raw: &[u8]) -> Vec<Applied> {
+        if let Some(format) = self.behind {
+            return vec![Applied::Behind { format }];
+        }
+        match self.position {
+            Position::Next(next) if offset < next => vec![Applied::Passed],
+            Position::Next(next) if offset == next => {
+                let mut out = vec![self.step(offset, raw)];
+                self.apply_waiting(&mut out);
+                out
+            }
+            Position::Next(_) => {
+                self.waiting.insert(offset, raw);
+                self.waiting.trim_newest();
+                vec![Applied::Waiting]
+            }
+            Position::NeedsCheckpoint { from } => self.hold_back(from, offset, raw),
+        }
+    }
+
+    /// Returns the offset to read next.
+    pub fn next(&self) -> Offset {
+        match self.position {
+            Position::Next(next) => next,
+            Position::NeedsCheckpoint { from } => self.waiting.first_missing(from),
+        }
+    }
+
+    /// Returns whether the fold lacks expired records and waits for a checkpoint.
+    pub fn needs_checkpoint(&self) -> bool {
+        matches!(self.position, Position::NeedsCheckpoint { .. })
+    }
+
+    /// Returns the format number at which the fold stopped.
+    pub fn behind(&self) -> Option<u8> {
+        self.behind
+    }
+
+    /// Returns the current version.
+    pub fn snapshot(&self) -> &Arc<Snapshot> {
+        &self.snapshot
+    }
+
+    /// Returns the outcome of a publication, if it is among the last settled ones.
+    pub fn outcome(&self, id: PublicationId) -> Option<Outcome> {
+        let settled = self.recent.iter().rev().find(|s| s.id == id);
+        settled.map(|s| s.outcome)
+    }
+
+    /// Returns the newest `as_of` of the checkpoints seen, from which the age of the last
+    /// checkpoint follows.
+    pub fn checkpoint_as_of(&self) -> Option<Offset> {
+        self.checkpoint_as_of
+    }
+
+    /// Returns a checkpoint of the state, or nothing if no record has been applied.
+    pub fn checkpoint(&self) -> Option<Record> {
+        let Position::Next(next) = self.position else {
+            return None;
+        };
+        Some(Record::Checkpoint(Checkpoint {
+            as_of: Offset(next.0.checked_sub(1)?),
+            version: self.snapshot.version(),
+            text: self.snapshot.text().to_string(),
+            recent: self.recent.iter().copied().collect(),
+        }))
+    }
+
+    fn apply_waiting(&mut self, out: &mut Vec<Applied>) {
+        while let Position::Next(next) = self.position
+            && self.behind.is_none()
+            && let Some(raw) = self.waiting.remove(next)
+        {
+            out.push(self.step(next, &raw));
+        }
+        if self.behind.is_some() {
+            self.waiting = Waiting::default();
+        }
+    }
+
+    fn step(&mut self, offset: Offset, raw: &[u8]) -> Applied {
+        let applied = match Record::decode(raw) {
+            Ok(Record::Publication(p)) => self.publish(p),
+            Ok(Record::Checkpoint(c)) if c.as_of < offset => {
+                self.note_checkpoint(&c);
+                Applied::Checkpoint
+            }
+            Ok(Record::Checkpoint(_)) | Err(RecordError::Malformed) => Applied::Malformed,
+            Err(RecordError::UnknownFormat { format }) => {
+                self.behind = Some(format);
+                return Applied::Behind { format };
+            }
+        };
+        self.position = Position::Next(offset.next());
+        applied
+    }
+
+    fn publish(&mut self, p: Publication) -> Applied {
+        let id = p.id;
+        if let Some(outcome) = self.outcome(id) {
+            return Applied::Repeated { id, outcome };
+        }
+        match self.compile(p) {
+            Ok(snapshot) => {
+                self.snapshot = Arc::new(snapshot);
+                self.settle(id, Outcome::Accepted(self.snapshot.version()));
+                let snapshot = Arc::clone(&self.snapshot);
+                Applied::Accepted { id, snapshot }
+            }
+            Err(code) => {
+                self.settle(id, Outcome::Rejected(code));
+                Applied::Rejected { id, code }
+            }
+        }
+    }
+
+    fn compile(&self, p: Publication) -> Result<Snapshot, Code> {
+        let current = self.snapshot.version();
+        if p.base != current {
+            return Err(Code::StaleBase);
+        }
+        Snapshot::compile(current.next(), &self.mesh, p.text).map_err(|r| r.code)
+    }
+
+    fn settle(&mut self, id: PublicationId, outcome: Outcome) {
+        self.recent.push_back(Settled { id, outcome });
+        if self.recent.len() > MAX_RECENT_IDS {
+            self.recent.pop_front();
+        }
+    }
+
+    fn hold_back(&mut self, from: Offset, offset: Offset, raw: &[u8]) -> Vec<Applied> {
+        if offset < from {
+            return vec![Applied::Passed];
+        }
+        self.waiting.insert(offset, raw);
+        if let Some(c) = usable_checkpoint(from, offset, raw) {
+            return self.adopt(c);
+        }
+        if let Some(from) = self.waiting.trim_oldest() {
+            self.position = Position::NeedsCheckpoint { from };
+        }
+        vec![Applied::Waiting]
+    }
+
+    fn adopt(&mut self, c: Checkpoint) -> Vec<Applied> {
+        let Some(snapshot) = self.restore(&c) else {
+            return vec![Applied::Malformed];
+        };
+        self.note_checkpoint(&c);
+        self.snapshot = Arc::new(snapshot);
+        self.recent = c.recent.into();
+        self.position = Position::Next(c.as_of.next());
+        self.waiting.drop_before(c.as_of.next());
+        let mut out = vec![Applied::Adopted(Arc::clone(&self.snapshot))];
+        self.apply_waiting(&mut out);
+        out
+    }
+
+    /// Compiles the text of a checkpoint. A checkpoint that contradicts the versions seen so far is
+    /// refused: the version never goes down and never changes its text.
+    fn restore(&self, c: &Checkpoint) -> Option<Snapshot> {
+        let current = &self.snapshot;
+        let digest = Digest::of(c.text.as_bytes());
+        let older = c.version < current.version();
+        let conflict = c.version == current.version() && digest != current.digest();
+        // Each version takes one record.
+        let impossible = c.version.0 > c.as_of.next().0;
+        if older || conflict || impossible || c.recent.len() > MAX_RECENT_IDS {
+            return None;
+        }
+        if c.version == Version(0) {
+            return Some(Snapshot::empty(&self.mesh));
+        }
+        Snapshot::compile(c.version, &self.mesh, c.text.as_str()).ok()
+    }
+
+    fn note_checkpoint(&mut self, c: &Checkpoint) {
+        self.checkpoint_as_of = self.checkpoint_as_of.max(Some(c.as_of));
+    }
+}
+
+/// Decodes the record at `offset` if it is a checkpoint after which only records from `from` on are
+/// missing.
+fn usable_checkpoint(from: Offset, offset: Offset, raw: &[u8]) -> Option<Checkpoint> {
+    match Record::decode(raw) {
+        Ok(Record::Checkpoint(c)) if c.as_of < offset && c.as_of.next() >= from => Some(c),
+        _ => None,
+    }
+}
+
+/// Records held back, bounded in number and size.
+#[derive(Clone, Debug, Default)]
+struct Waiting {
+    records: BTreeMap<Offset, Vec<u8>>,
+    bytes: usize,
+}
+
+impl Waiting {
+    fn insert(&mut self, offset: Offset, raw: &[u8]) {
+        if let std::collections::btree_map::Entry::Vacant(e) = self.records.entry(offset) {
+            e.insert(raw.to_vec());
+            self.bytes += raw.len();
+        }
+    }
+
+    fn remove(&mut self, offset: Offset) -> Option<Vec<u8>> {
+        let raw = self.records.remove(&offset)?;
+        self.bytes -= raw.len();
+        Some(raw)
+    }
+
+    fn drop_before(&mut self, offset: Offset) {
+        self.records = self.records.split_off(&offset);
+        self.bytes = self.records.values().map(Vec::len).sum();
+    }
+
+    fn is_over_limit(&self) -> bool {
+        self.records.len() > MAX_WAITING_RECORDS || self.bytes > MAX_WAITING_BYTES
+    }
+
+    /// Drops the oldest records over the limit and returns the first offset that can be kept.
+    fn trim_oldest(&mut self) -> Option<Offset> {
+        let mut from = None;
+        while self.is_over_limit()
+            && let Some((&offset, _)) = self.records.first_key_value()
+        {
+            self.remove(offset);
+            from = Some(offset.next());
+        }
+        from
+    }
+
+    /// Drops the newest records over the limit; they are read again after the missing ones.
+    fn trim_newest(&mut self) {
+        while self.is_over_limit()
+            && let Some((&offset, _)) = self.records.last_key_value()
+        {
+            self.remove(offset);
+        }
+    }
+
+    fn first_missing(&self, from: Offset) -> Offset {
+        let held = self.records.range(from..).map(|(o, _)| *o);
+        held.fold(from, |next, o| if o == next { o.next() } else { next })
+    }
+}
--- /dev/null
+++ b/crates/config/src/id.rs
@@ -0,0 +1,48 @@
+//! Identifiers of publications.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use snafu::{OptionExt, Snafu};
+
+const ID_BYTES: usize = 16;
+
+/// A 128-bit random identifier that the publisher gives to a publication, so that a repeated append
+/// counts once. Its text form is 32 hexadecimal digits.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PublicationId([u8; ID_BYTES]);
+
+impl PublicationId {
+    /// Makes an identifier of random bytes.
+    pub const fn from_random(bytes: [u8; ID_BYTES]) -> PublicationId {
+        PublicationId(bytes)
+    }
+}
+
+impl fmt::Display for PublicationId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
+    }
+}
+
+impl fmt::Debug for PublicationId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// A publication id is not 32 hexadecimal digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("a publication id has 32 hexadecimal digits"))]
+pub struct ParseIdError;
+
+impl FromStr for PublicationId {
+    type Err = ParseIdError;
+
+    fn from_str(s: &str) -> Result<PublicationId, ParseIdError> {
+        let digits = s.len() == 2 * ID_BYTES && s.bytes().all(|b| b.is_ascii_hexdigit());
+        let n = digits.then(|| u128::from_str_radix(s, 16).ok()).flatten();
+        Ok(PublicationId(n.context(ParseIdSnafu)?.to_be_bytes()))
+    }
+}
--- /dev/null
+++ b/crates/config/src/raw.rs
@@ -0,0 +1,51 @@
+//! The text as TOML has it, before any rule is applied.
+
+use serde::Deserialize;
+use toml::Spanned;
+
+use crate::snapshot::{Class, Repeat, Scope};
+
+/// Only the format number, which decides how the rest is read.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RawFormat {
+    pub(crate) format: Spanned<i64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawText {
+    #[serde(rename = "format")]
+    pub(crate) _format: i64,
+    pub(crate) mesh: Spanned<String>,
+    #[serde(default)]
+    pub(crate) scope: Scope,
+    pub(crate) claim_window_s: Option<Spanned<i64>>,
+    #[serde(default, rename = "service")]
+    pub(crate) services: Vec<RawService>,
+    #[serde(default, rename = "route")]
+    pub(crate) routes: Vec<RawRoute>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawService {
+    pub(crate) name: Spanned<String>,
+    #[serde(default)]
+    pub(crate) depends: Vec<Spanned<String>>,
+    pub(crate) slots: Spanned<i64>,
+    pub(crate) connections: Spanned<i64>,
+    pub(crate) queue: Option<Spanned<i64>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawRoute {
+    pub(crate) prefix: Spanned<String>,
+    pub(crate) service: Spanned<String>,
+    pub(crate) methods: Option<Spanned<Vec<Spanned<String>>>>,
+    pub(crate) repeat: Option<Repeat>,
+    #[serde(default)]
+    pub(crate) class: Class,
+    pub(crate) timeout_ms: Option<Spanned<i64>>,
+    pub(crate) hedge: Option<Spanned<bool>>,
+}
--- /dev/null
+++ b/crates/config/tests/delta.rs
@@ -0,0 +1,48 @@
+//! Deltas between texts.
+
+use config::{Delta, DeltaError, PublicationId, diff};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0x5eed_0002),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a delta that gives another text than the one it was made of, also with line
+    /// endings of other systems and without a last one.
+    #[test]
+    fn delta_gives_the_new_text(old in "([ab]{0,1}\r?\n){0,20}b?", new in "([ab]{0,1}\r?\n){0,20}b?") {
+        let d = Delta::between(&old, &new);
+        prop_assert_eq!(d.apply(&old), Ok(new.clone()));
+        prop_assert_eq!(diff(&old, &new).is_empty(), old == new);
+    }
+}
+
+/// Guards against a delta on another base and against a large rewrite that takes quadratic time.
+#[gtest]
+fn delta_is_bound_to_its_base() {
+    let text = |c: &str| (0..30_000).map(|i| format!("{c}{i}\n")).collect::<String>();
+    let (old, new) = (text("a"), text("b"));
+    let d = Delta::between(&old, &new);
+    expect_that!(d.apply(&new), err(eq(&DeltaError::OtherBase)));
+    expect_that!(d.apply(&old), ok(eq(&new)));
+}
+
+/// Guards against ids whose text form can't be read back.
+#[gtest]
+fn publication_id_has_a_text_form() {
+    let id = PublicationId::from_random(*b"\x00123456789abcde\xff");
+    expect_that!(id.to_string().parse::<PublicationId>(), ok(eq(id)));
+    for bad in [
+        "",
+        "+0112233445566778899aabbccddeeff",
+        "00",
+        "é0112233445566778899aabbccddeef",
+    ] {
+        expect_that!(bad.parse::<PublicationId>().is_err(), eq(true), "{bad}");
+    }
+}
