Add the picker, retries, hedging, quarantine and the straggler case

Cause: a target that is slowed tenfold must leave the choice before its slow answers come back. Each request is judged once, late when its age passes a multiple of the usual latency of its route and instance, so requests in flight count as evidence. Per-request judging was chosen over the mean age in flight, because a single long request would weigh more than many short ones there. begin returns a ticket that end takes back: an end that comes twice, or after the instance was replaced, can't make a count negative.

--- /dev/null
+++ b/crates/bench/src/straggler_policy.rs
@@ -0,0 +1,104 @@
+//! How an entry node chooses: the picker, or a simple policy to compare with.
+
+use std::fmt;
+
+use route::{
+    Ask, Hedge, HedgeCfg, Outcome, Pick, Picker, PickerCfg, RouteKey, State, Ticket, View,
+};
+use wire::{Domain, InstanceId, Time};
+
+pub(crate) const ROUTE: RouteKey = RouteKey(1);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Policy {
+    Route,
+    RoundRobin,
+    LeastConnections,
+}
+
+impl fmt::Display for Policy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Policy::Route => "route",
+            Policy::RoundRobin => "round_robin",
+            Policy::LeastConnections => "least_connections",
+        })
+    }
+}
+
+pub(crate) fn domain(i: usize) -> Domain {
+    Domain::from(["dar-a", "dar-b", "dar-c"][i % 3])
+}
+
+/// An entry node.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    policy: Policy,
+    pub(crate) picker: Picker,
+    pub(crate) hedge: Hedge,
+    open: Vec<u32>,
+    next: usize,
+}
+
+impl Entry {
+    pub(crate) fn new(policy: Policy, index: usize, targets: &[u32], seed: u64) -> Entry {
+        let node = InstanceId(1_000 + index as u64);
+        let mut picker = Picker::new(PickerCfg::new(node, domain(index)), seed + index as u64);
+        let views: Vec<View> = targets
+            .iter()
+            .enumerate()
+            .map(|(i, s)| view(i, *s))
+            .collect();
+        picker.set_instances(Time::ZERO, &views);
+        Entry {
+            policy,
+            picker,
+            hedge: Hedge::new(HedgeCfg::default()),
+            open: vec![0; targets.len()],
+            next: index,
+        }
+    }
+
+    /// Returns the index of the chosen target.
+    pub(crate) fn pick(&mut self, now: Time, tried: Option<usize>, hedged: bool) -> Option<usize> {
+        let n = self.open.len();
+        self.next += 1;
+        match self.policy {
+            Policy::RoundRobin => Some(self.next % n),
+            Policy::LeastConnections => (0..n)
+                .map(|i| (self.next + i) % n)
+                .min_by_key(|i| self.open[*i]),
+            Policy::Route => {
+                let exclude: Vec<InstanceId> =
+                    tried.iter().map(|t| InstanceId(*t as u64)).collect();
+                let ask = Ask {
+                    exclude: &exclude,
+                    hedge: tried.is_some(),
+                    repeatable: hedged,
+                };
+                let Pick { id, .. } = self.picker.pick(now, &ask)?;
+                Some(id.0 as usize)
+            }
+        }
+    }
+
+    pub(crate) fn begin(&mut self, now: Time, target: usize) -> Ticket {
+        self.open[target] += 1;
+        self.picker.begin(now, InstanceId(target as u64), ROUTE)
+    }
+
+    pub(crate) fn end(&mut self, now: Time, target: usize, ticket: Ticket, outcome: Outcome) {
+        self.open[target] -= 1;
+        self.picker.end(now, ticket, outcome);
+    }
+}
+
+fn view(index: usize, slots: u32) -> View {
+    View {
+        id: InstanceId(index as u64),
+        domain: domain(index),
+        slots,
+        state: State::Ready,
+        fresh: false,
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,26 @@
-//! Choice of an instance for a request, retries, hedging and ejection.
+//! Choice of an instance for a request, retries, hedging, ejection and quarantine.
+//!
+//! Nothing here does I/O: the current time is an argument, and random choices come from a seeded
+//! generator, so a run depends on its inputs and its seed only.
+
+mod budget;
+mod hedge;
+mod judge;
+mod outlier;
+mod peer;
+mod picker;
+mod quantiles;
+mod quarantine;
+mod retry;
+mod spill;
+mod subset;
+mod view;
+
+pub use budget::{Budget, BudgetCfg};
+pub use hedge::{Hedge, HedgeCfg};
+pub use outlier::{OutlierCfg, max_ejected};
+pub use picker::{Picker, PickerCfg, PickerStats};
+pub use quantiles::Quantiles;
+pub use quarantine::{Quarantine, QuarantineCfg, Strike};
+pub use retry::{Attempts, Denial, Failure, MAX_ATTEMPTS, RetryBudget};
+pub use view::{Ask, Kind, Outcome, Pick, RouteKey, State, Ticket, View};
--- /dev/null
+++ b/crates/route/src/picker.rs
@@ -0,0 +1,545 @@
+//! Choice of an instance for each attempt.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rand::rngs::Xoshiro256PlusPlus;
+use rand::{RngExt, SeedableRng};
+use slotmap::SlotMap;
+use wire::{Code, Domain, InstanceId, Load, Time};
+
+use crate::judge::Judge;
+use crate::outlier::{Ejection, Evidence, weigh};
+use crate::peer::{Peer, Ramp};
+use crate::spill::Spill;
+use crate::subset::subset;
+use crate::{Ask, Kind, Outcome, OutlierCfg, Pick, RouteKey, State, Ticket, View, max_ejected};
+
+/// Time between two computations of the own domain's use.
+const REFRESH: Duration = Duration::from_millis(5);
+/// How long a refusal for lack of room keeps requests away.
+const BUSY: Duration = Duration::from_millis(50);
+/// How long a refusal for draining keeps requests away; membership reports it within this time.
+const DRAINING: Duration = Duration::from_secs(3);
+
+/// Settings of a picker.
+#[derive(Clone, Debug)]
+pub struct PickerCfg {
+    /// The node that picks.
+    pub node: InstanceId,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Most instances that the node uses.
+    pub subset: usize,
+    /// Candidates that are compared for each pick.
+    pub choices: usize,
+    /// Factor on the cost of an instance in another failure domain.
+    pub foreign_factor: f64,
+    /// Weight of the reported queue length, in requests.
+    pub hint_weight: f64,
+    /// Time over which a fresh instance reaches its full share.
+    pub slow_start: Duration,
+    /// Time over which a readmitted instance reaches its full share.
+    pub readmit_ramp: Duration,
+    /// Outlier detection.
+    pub outlier: OutlierCfg,
+}
+
+impl PickerCfg {
+    /// Returns the default settings for a node in `domain`.
+    pub fn new(node: InstanceId, domain: Domain) -> PickerCfg {
+        PickerCfg {
+            node,
+            domain,
+            subset: 20,
+            choices: 2,
+            foreign_factor: 1.25,
+            hint_weight: 1.0,
+            slow_start: Duration::from_secs(5),
+            readmit_ramp: Duration::from_secs(1),
+            outlier: OutlierCfg::default(),
+        }
+    }
+}
+
+/// Counters of a picker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PickerStats {
+    /// Instances ejected.
+    pub ejections: u64,
+    /// Instances readmitted.
+    pub readmissions: u64,
+    /// Probes sent.
+    pub probes: u64,
+    /// Picks of an ejected instance because nothing else was left.
+    pub panics: u64,
+    /// Picks outside the own failure domain.
+    pub foreign: u64,
+    /// Picks.
+    pub picks: u64,
+}
+
+slotmap::new_key_type! {
+    struct PeerKey;
+}
+
+/// A request in flight.
+#[derive(Debug)]
+struct Call {
+    peer: PeerKey,
+    route: RouteKey,
+    begun: Time,
+    /// When it becomes late; `None` once it is judged or if no latency is known yet.
+    due: Option<Time>,
+    judged: bool,
+    answered: bool,
+}
+
+/// Chooses instances of one service for one node.
+#[derive(Debug)]
+pub struct Picker {
+    cfg: PickerCfg,
+    rng: Xoshiro256PlusPlus,
+    peers: SlotMap<PeerKey, Peer>,
+    by_id: BTreeMap<InstanceId, PeerKey>,
+    calls: SlotMap<Ticket, Call>,
+    due: BTreeSet<(Time, Ticket)>,
+    judge: Judge,
+    /// Ready instances that aren't ejected, own domain first; `locals` of them are in it.
+    usable: Vec<PeerKey>,
+    locals: usize,
+    ejected: Vec<PeerKey>,
+    spill: Spill,
+    refresh_at: Time,
+    stats: PickerStats,
+}
+
+impl Picker {
+    /// Makes a picker without instances.
+    pub fn new(cfg: PickerCfg, seed: u64) -> Picker {
+        Picker {
+            cfg,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            peers: SlotMap::with_key(),
+            by_id: BTreeMap::new(),
+            calls: SlotMap::with_key(),
+            due: BTreeSet::new(),
+            judge: Judge::default(),
+            usable: Vec::new(),
+            locals: 0,
+            ejected: Vec::new(),
+            spill: Spill::default(),
+            refresh_at: Time::ZERO,
+            stats: PickerStats::default(),
+        }
+    }
+
+    /// Replaces the instances. Statistics of those that stay are kept.
+    pub fn set_instances(&mut self, now: Time, views: &[View]) {
+        let chosen = subset(views, self.cfg.node, &self.cfg.domain, self.cfg.subset);
+        let ids: BTreeSet<InstanceId> = chosen.iter().map(|v| v.id).collect();
+        let peers = &mut self.peers;
+        self.by_id.retain(|id, key| {
+            let stays = ids.contains(id);
+            if !stays {
+                peers.remove(*key);
+            }
+            stays
+        });
+        for view in chosen {
+            self.set_instance(now, view);
+        }
+        self.keep_ejections_bounded();
+        self.rebuild(now);
+    }
+
+    fn set_instance(&mut self, now: Time, view: &View) {
+        let local = view.domain == self.cfg.domain;
+        let ramp = Ramp::new(now, self.cfg.slow_start);
+        let Some(&key) = self.by_id.get(&view.id) else {
+            let peer = Peer::new(view, local, view.fresh.then_some(ramp));
+            self.by_id.insert(view.id, self.peers.insert(peer));
+            return;
+        };
+        let peer = &mut self.peers[key];
+        if view.state != State::Ready {
+            peer.ejection = None;
+        } else if peer.state != State::Ready {
+            // A new life: what was seen of the last one doesn't count.
+            peer.suspicion = 0.0;
+            peer.drains_until = Time::ZERO;
+            peer.ramp = view.fresh.then_some(ramp);
+        }
+        peer.local = local;
+        peer.slots = view.slots.max(1);
+        peer.state = view.state;
+    }
+
+    /// Readmits the earliest ejected instances when the service has become too small for them.
+    fn keep_ejections_bounded(&mut self) {
+        let ready = self.ready();
+        let mut ejected: Vec<(Time, PeerKey)> = self
+            .peers
+            .iter()
+            .filter_map(|(key, p)| Some((p.ejection?.since, key)))
+            .collect();
+        ejected.sort_unstable();
+        let surplus = ejected.len().saturating_sub(max_ejected(ready));
+        for (_, key) in &ejected[..surplus] {
+            self.peers[*key].ejection = None;
+            self.peers[*key].suspicion = 0.0;
+        }
+    }
+
+    /// Chooses an instance, or `None` if none takes work or all were tried.
+    pub fn pick(&mut self, now: Time, ask: &Ask<'_>) -> Option<Pick> {
+        self.advance(now);
+        if let Some(id) = self.probe(now, ask) {
+            return Some(Pick { id, probe: true });
+        }
+        let key = self
+            .choose(now, ask)
+            .or_else(|| self.last_resort(now, ask))?;
+        let peer = &self.peers[key];
+        self.stats.picks += 1;
+        self.stats.foreign += u64::from(!peer.local);
+        Some(Pick {
+            id: peer.id,
+            probe: false,
+        })
+    }
+
+    /// Counts an attempt that is sent to `id` now. Each ticket must be given to `end` once.
+    pub fn begin(&mut self, now: Time, id: InstanceId, route: RouteKey) -> Ticket {
+        let key = self.by_id.get(&id).copied().unwrap_or_default();
+        let mut due = None;
+        if let Some(peer) = self.peers.get_mut(key) {
+            peer.in_flight += 1;
+            let limit = self.judge.limit(&self.cfg.outlier, route, peer.speed);
+            due = limit.map(|limit| now + limit);
+        }
+        let ticket = self.calls.insert(Call {
+            peer: key,
+            route,
+            begun: now,
+            due,
+            judged: false,
+            answered: false,
+        });
+        if let Some(at) = due {
+            self.due.insert((at, ticket));
+        }
+        ticket
+    }
+
+    /// Notes that the response has begun. The time its body takes says nothing about the instance.
+    pub fn answered(&mut self, now: Time, ticket: Ticket, load: Option<Load>) {
+        self.advance(now);
+        let Some(call) = self.calls.get_mut(ticket) else {
+            return;
+        };
+        if call.answered {
+            return;
+        }
+        call.answered = true;
+        let (key, route, latency) = (call.peer, call.route, now.since(call.begun));
+        let median = self.judge.median(route);
+        if let Some(peer) = self.peers.get_mut(key) {
+            if let Some(median) = median {
+                peer.speed
+                    .update(latency.as_secs_f64() / median.as_secs_f64());
+            }
+            if let Some(load) = load {
+                peer.load = Some((now, load));
+            }
+            // Probes of a slow instance don't belong to the service's usual latency.
+            if peer.ejection.is_none() {
+                self.judge.record(route, latency);
+            }
+        }
+        self.decide(now, ticket, Evidence::Prompt);
+    }
+
+    /// Counts the end of an attempt. A ticket that has ended already is ignored.
+    pub fn end(&mut self, now: Time, ticket: Ticket, outcome: Outcome) {
+        match outcome.kind {
+            Kind::Ok => self.answered(now, ticket, outcome.load),
+            _ => self.advance(now),
+        }
+        self.judge_end(now, ticket, outcome.kind);
+        let Some(call) = self.calls.remove(ticket) else {
+            return;
+        };
+        if let Some(at) = call.due {
+            self.due.remove(&(at, ticket));
+        }
+        if let Some(peer) = self.peers.get_mut(call.peer) {
+            peer.in_flight -= 1;
+            if let Some(load) = outcome.load {
+                peer.load = Some((now, load));
+            }
+        }
+    }
+
+    fn judge_end(&mut self, now: Time, ticket: Ticket, kind: Kind) {
+        match kind {
+            Kind::Ok | Kind::Cancelled => {}
+            Kind::Overtaken => self.decide(now, ticket, Evidence::Late),
+            Kind::ConnectFailed | Kind::Lost => self.decide(now, ticket, Evidence::Error),
+            // A short deadline isn't the instance's fault. Without a known latency, it may be.
+            Kind::TimedOut => {
+                if self.calls.get(ticket).is_some_and(|c| c.due.is_none()) {
+                    self.decide(now, ticket, Evidence::Error);
+                }
+            }
+            Kind::Refused(code) => self.refused(now, ticket, code),
+        }
+    }
+
+    fn refused(&mut self, now: Time, ticket: Ticket, code: Code) {
+        let key = self.calls.get(ticket).map(|c| c.peer).unwrap_or_default();
+        let Some(peer) = self.peers.get_mut(key) else {
+            return;
+        };
+        match code {
+            Code::QueueFull | Code::CannotStartInTime => peer.busy_until = now + BUSY,
+            Code::Draining => {
+                peer.drains_until = now + DRAINING;
+                self.refresh_at = now;
+            }
+            Code::NotReady | Code::TargetDown | Code::TargetLost | Code::PeerLost => {
+                self.decide(now, ticket, Evidence::Error);
+            }
+            _ => {}
+        }
+    }
+
+    /// Judges an attempt, unless that is done.
+    fn decide(&mut self, now: Time, ticket: Ticket, evidence: Evidence) {
+        let Some(call) = self.calls.get_mut(ticket) else {
+            return;
+        };
+        if let Some(at) = call.due.take() {
+            self.due.remove(&(at, ticket));
+        }
+        if std::mem::replace(&mut call.judged, true) {
+            return;
+        }
+        let (key, begun) = (call.peer, call.begun);
+        self.weigh(now, key, begun, evidence);
+    }
+
+    fn weigh(&mut self, now: Time, key: PeerKey, begun: Time, evidence: Evidence) {
+        let cfg = &self.cfg.outlier;
+        let Some(peer) = self.peers.get_mut(key) else {
+            return;
+        };
+        let Some(ejection) = &mut peer.ejection else {
+            peer.suspicion = weigh(cfg, peer.suspicion, evidence);
+            if peer.suspicion >= cfg.threshold {
+                self.try_eject(now, key);
+            }
+            return;
+        };
+        // Requests from before the ejection were its reason and say nothing about a recovery.
+        if begun < ejection.since {
+            return;
+        }
+        if ejection.probed(cfg, now, evidence) {
+            peer.ejection = None;
+            peer.suspicion = 0.0;
+            peer.ramp = Some(Ramp::new(now, self.cfg.readmit_ramp));
+            self.stats.readmissions += 1;
+            self.rebuild(now);
+        }
+    }
+
+    /// Ejects an instance unless too many are out or most others look the same.
+    fn try_eject(&mut self, now: Time, key: PeerKey) {
+        let limit = max_ejected(self.ready());
+        let ejected = self.peers.values().filter(|p| p.ejection.is_some()).count();
+        if ejected >= limit || self.peers[key].state != State::Ready {
+            return;
+        }
+        let mut others: Vec<f64> = self
+            .peers
+            .iter()
+            .filter(|(k, p)| *k != key && p.state == State::Ready && p.ejection.is_none())
+            .map(|(_, p)| p.suspicion)
+            .collect();
+        others.sort_unstable_by(f64::total_cmp);
+        let median = others.get(others.len() / 2).copied().unwrap_or(0.0);
+        if median >= self.cfg.outlier.threshold / 2.0 {
+            return;
+        }
+        self.peers[key].ejection = Some(Ejection::new(&self.cfg.outlier, now));
+        self.stats.ejections += 1;
+        self.rebuild(now);
+    }
+
+    /// Judges the requests that have become late, and refreshes the derived state.
+    fn advance(&mut self, now: Time) {
+        while let Some(&(at, ticket)) = self.due.first() {
+            if at >= now {
+                break;
+            }
+            self.decide(now, ticket, Evidence::Late);
+        }
+        if now >= self.refresh_at {
+            self.rebuild(now);
+        }
+    }
+
+    fn rebuild(&mut self, now: Time) {
+        self.refresh_at = now + REFRESH;
+        self.usable.clear();
+        self.ejected.clear();
+        for local in [true, false] {
+            // The order of ids makes equal inputs give equal choices.
+            for &key in self.by_id.values() {
+                let peer = &self.peers[key];
+                if peer.local != local || !peer.takes_work(now) {
+                    continue;
+                }
+                match peer.ejection {
+                    None => self.usable.push(key),
+                    Some(_) => self.ejected.push(key),
+                }
+            }
+            if local {
+                self.locals = self.usable.len();
+            }
+        }
+        self.spill.update(now, self.used(now));
+    }
+
+    /// Returns the used share of the own domain's slots.
+    fn used(&self, now: Time) -> Option<f64> {
+        let locals = &self.usable[..self.locals];
+        let slots: u32 = locals.iter().map(|k| self.peers[*k].slots).sum();
+        let held: u32 = locals.iter().map(|k| self.peers[*k].occupied(now)).sum();
+        (slots > 0).then(|| f64::from(held) / f64::from(slots))
+    }
+
+    fn ready(&self) -> usize {
+        let ready = |p: &&Peer| p.state == State::Ready;
+        self.peers.values().filter(ready).count()
+    }
+
+    fn probe(&mut self, now: Time, ask: &Ask<'_>) -> Option<InstanceId> {
+        if ask.hedge {
+            return None;
+        }
+        for key in &self.ejected {
+            let peer = &mut self.peers[*key];
+            let id = peer.id;
+            let Some(ejection) = &mut peer.ejection else {
+                continue;
+            };
+            let due = ejection.probe_due(&self.cfg.outlier, now, ask.repeatable);
+            if due && !ask.exclude.contains(&id) {
+                ejection.probe_sent(now);
+                self.stats.probes += 1;
+                return Some(id);
+            }
+        }
+        None
+    }
+
+    fn choose(&mut self, now: Time, ask: &Ask<'_>) -> Option<PeerKey> {
+        if !self.spill.is_on()
+            && let Some(key) = self.best(now, ask, 0..self.locals)
+            && self.peers[key].in_flight < self.peers[key].slots
+        {
+            return Some(key);
+        }
+        self.best(now, ask, 0..self.usable.len())
+    }
+
+    /// Returns the best of a few random candidates with room.
+    fn best(&mut self, now: Time, ask: &Ask<'_>, range: std::ops::Range<usize>) -> Option<PeerKey> {
+        let n = range.len();
+        if n == 0 {
+            return None;
+        }
+        let start = self.rng.random_range(0..n);
+        let step = match n <= self.cfg.choices {
+            true => 1,
+            false => self.rng.random_range(1..n),
+        };
+        let mut best: Option<(f64, PeerKey)> = None;
+        let mut compared = 0;
+        for i in 0..n {
+            let key = self.usable[range.start + (start + i * step) % n];
+            let peer = &self.peers[key];
+            if ask.exclude.contains(&peer.id) || now < peer.busy_until {
+                continue;
+            }
+            let foreign = if peer.local {
+                1.0
+            } else {
+                self.cfg.foreign_factor
+            };
+            let cost = peer.cost(now, self.cfg.hint_weight) * foreign;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+            compared += 1;
+            if compared == self.cfg.choices {
+                break;
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Returns an instance that is busy, or else one that is ejected.
+    fn last_resort(&mut self, now: Time, ask: &Ask<'_>) -> Option<PeerKey> {
+        let peers = &self.peers;
+        let least = |keys: &[PeerKey]| {
+            keys.iter()
+                .copied()
+                .filter(|k| !ask.exclude.contains(&peers[*k].id))
+                .min_by(|a, b| {
+                    let cost = |k: &PeerKey| peers[*k].cost(now, self.cfg.hint_weight);
+                    cost(a).total_cmp(&cost(b))
+                })
+        };
+        if let Some(key) = least(&self.usable) {
+            return Some(key);
+        }
+        let key = least(&self.ejected)?;
+        self.stats.panics += 1;
+        Some(key)
+    }
+
+    /// Returns the service's median latency on a route, once it is known.
+    pub fn median(&self, route: RouteKey) -> Option<Duration> {
+        self.judge.median(route)
+    }
+
+    /// Forgets the statistics of routes for which `keep` is false.
+    pub fn retain_routes(&mut self, keep: impl FnMut(RouteKey) -> bool) {
+        self.judge.retain(keep);
+    }
+
+    /// Returns the ejected instances.
+    pub fn ejected(&self) -> impl Iterator<Item = InstanceId> + '_ {
+        self.ejected.iter().map(|k| self.peers[*k].id)
+    }
+
+    /// Returns the requests in flight to an instance.
+    pub fn in_flight(&self, id: InstanceId) -> u32 {
+        let key = self.by_id.get(&id).copied().unwrap_or_default();
+        self.peers.get(key).map_or(0, |p| p.in_flight)
+    }
+
+    /// Returns the instances that this node uses.
+    pub fn instances(&self) -> impl Iterator<Item = InstanceId> + '_ {
+        self.by_id.keys().copied()
+    }
+
+    /// Returns the counters.
+    pub fn stats(&self) -> PickerStats {
+        self.stats
+    }
+}
