--- a/crates/node/src/beside.rs
+++ b/crates/node/src/beside.rs
@@ -60,6 +60,11 @@
     if shared.is_quarantined(hop.meta.fingerprint) {
         return Err(Code::Quarantined.into());
     }
+    if hop.meta.repeat == Repeat::Never
+        && let Some(res) = claims::known_answer(shared, &hop).await
+    {
+        return Ok(res);
+    }
     let permit = admit(shared, &hop).await?;
     match hop.meta.repeat {
         Repeat::Safe => hand_over(shared, hop, permit).await,
@@ -109,7 +114,7 @@
     Ok(pass_on(shared, &hop, result?, permit, span))
 }
 
-async fn exchange(
+pub(crate) async fn exchange(
     shared: &Arc<Shared>,
     hop: &mut Hop,
     span: &Span,
@@ -118,7 +123,11 @@
     let whole = hop.body.rest.is_none();
     let body = hop.body.take(whole).ok_or(Code::AttemptsUsedUp)?;
     let mut headers = hop.headers.clone();
-    if let Some(value) = span.context().to_header().and_then(|v| HeaderValue::from_str(&v).ok()) {
+    if let Some(value) = span
+        .context()
+        .to_header()
+        .and_then(|v| HeaderValue::from_str(&v).ok())
+    {
         headers.insert("traceparent", value);
     }
     // A pause of this process may come between any two steps, so the clock is read last and the
@@ -130,7 +139,11 @@
     let deadline_unix = unix_now() + (hop.deadline - now);
     headers.insert(wire::DEADLINE_UNIX_MS, HeaderValue::from(deadline_unix.0));
     let url = format!("http://{addr}{}", hop.path);
-    let req = shared.target_client.request(hop.method.clone(), url).headers(headers).body(body);
+    let req = shared
+        .target_client
+        .request(hop.method.clone(), url)
+        .headers(headers)
+        .body(body);
     shared.metrics.count(Metric::HandedOver);
     let timeout = shared.clock.instant(hop.deadline);
     match tokio::time::timeout_at(timeout, req.send()).await {
@@ -151,7 +164,10 @@
 /// Counts a strike against the request if the target died while it ran it.
 async fn strike_if_dead(shared: &Arc<Shared>, addr: std::net::SocketAddr, fp: Fingerprint) {
     let connect = tokio::net::TcpStream::connect(addr);
-    if !matches!(tokio::time::timeout(DEATH_CHECK_TIMEOUT, connect).await, Ok(Ok(_))) {
+    if !matches!(
+        tokio::time::timeout(DEATH_CHECK_TIMEOUT, connect).await,
+        Ok(Ok(_))
+    ) {
         shared.target_died();
         shared.strike(fp).await;
     }
@@ -165,16 +181,13 @@
     span: Span,
 ) -> Response {
     let length = res.content_length();
-    let mut out = Response::new(Body::empty());
-    *out.status_mut() = res.status();
-    *out.headers_mut() = res.headers().clone();
-    strip_own(out.headers_mut());
-    strip_hop_by_hop(out.headers_mut());
+    let mut out = response_head(&res);
     let shared = shared.clone();
     let fingerprint = hop.meta.fingerprint;
+    let in_progress = shared.in_progress();
     let report = move |end| {
         // Held until here, so that the slot and the span last as long as the answer.
-        let _span = span;
+        let _held = (span, in_progress);
         match end {
             End::Whole => {
                 shared.clear_strikes(fingerprint);
@@ -188,3 +201,26 @@
     *out.body_mut() = Body::from_stream(stream);
     out
 }
+
+/// Starts the response to the caller with the status and headers of the target's answer.
+pub(crate) fn response_head(res: &reqwest::Response) -> Response {
+    let mut out = Response::new(Body::empty());
+    *out.status_mut() = res.status();
+    *out.headers_mut() = res.headers().clone();
+    strip_own(out.headers_mut());
+    strip_hop_by_hop(out.headers_mut());
+    out
+}
+
+/// Checks that the target accepts connections.
+pub(crate) async fn check_connect(shared: &Shared) -> Result<(), Code> {
+    let addr = shared.target.address(shared.clock.now())?;
+    let connect = tokio::net::TcpStream::connect(addr);
+    match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
+        Ok(Ok(_)) => Ok(()),
+        _ => {
+            shared.metrics.count(Metric::TargetConnectFailed);
+            Err(Code::TargetDown)
+        }
+    }
+}
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -39,13 +39,19 @@
         let mut prefix = BytesMut::new();
         while prefix.len() < REPLAY_BYTES {
             let Some(frame) = body.frame().await else {
-                return Ok(Inbound { prefix: prefix.freeze(), rest: None });
+                return Ok(Inbound {
+                    prefix: prefix.freeze(),
+                    rest: None,
+                });
             };
             if let Ok(data) = frame?.into_data() {
                 prefix.extend_from_slice(&data);
             }
         }
-        Ok(Inbound { prefix: prefix.freeze(), rest: Some(body) })
+        Ok(Inbound {
+            prefix: prefix.freeze(),
+            rest: Some(body),
+        })
     }
 
     /// Returns the bytes for the fingerprint.
@@ -61,7 +67,9 @@
         let rest = self.rest.take()?;
         let head = futures_util::stream::iter([Ok(self.prefix.clone())]);
         let tail = rest.into_data_stream();
-        Some(reqwest::Body::wrap_stream(futures_util::StreamExt::chain(head, tail)))
+        Some(reqwest::Body::wrap_stream(futures_util::StreamExt::chain(
+            head, tail,
+        )))
     }
 }
 
@@ -75,7 +83,11 @@
 
 impl<S, F: FnOnce(End)> Reporting<S, F> {
     pub(crate) fn new(inner: S, length: Option<u64>, report: F) -> Self {
-        Reporting { inner, left: length, report: Some(report) }
+        Reporting {
+            inner,
+            left: length,
+            report: Some(report),
+        }
     }
 
     fn end(&mut self, end: End) {
@@ -109,7 +121,11 @@
 impl<S, F: FnOnce(End)> Drop for Reporting<S, F> {
     fn drop(&mut self) {
         // A server that knows the length stops polling after the last byte.
-        let end = if self.left == Some(0) { End::Whole } else { End::Dropped };
+        let end = if self.left == Some(0) {
+            End::Whole
+        } else {
+            End::Dropped
+        };
         self.end(end);
     }
 }
--- /dev/null
+++ b/crates/node/src/claims.rs
@@ -0,0 +1,536 @@
+//! Requests that must not be repeated: the actor round [`Claims`], the reading of the claim
+//! streams, and the run itself.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::http::{HeaderValue, StatusCode};
+use axum::response::Response;
+use bytes::Bytes;
+use claim::{
+    Action, Answer, Boot, Cfg, ClaimEvent, Claims, Event, Issuer, Key, Now, Outcome, ReqId, Shard,
+};
+use futures_util::StreamExt;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+use ops::Metric;
+use plat::{Batch, LogError};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::sync::{mpsc, oneshot, watch};
+use wire::{Code, Fingerprint, Offset, Refusal, Time};
+
+use crate::beside::{self, Hop};
+use crate::clock::unix_now;
+use crate::gate::Permit;
+use crate::problem;
+use crate::shared::Shared;
+
+/// Claim streams of a service. Claims of one stream share appends.
+const SHARDS: usize = 4;
+/// A stream is followed for this long after its last request.
+const FOLLOW: Duration = Duration::from_secs(30);
+const LONG_POLL: Duration = Duration::from_secs(1);
+const RETRY_MS: std::ops::Range<u64> = 20..200;
+/// Pieces of an answer that wait for a slow caller.
+const ANSWER_PIECES: usize = 16;
+
+/// The decision on a request.
+#[derive(Debug)]
+enum Decision {
+    Run,
+    Answer(Answer),
+    Refuse(Refusal),
+}
+
+/// Owns the claims of the target's service.
+#[derive(Debug)]
+pub(crate) struct ClaimKeeper {
+    shared: Arc<Shared>,
+    claims: Claims,
+    pending: BTreeMap<ReqId, oneshot::Sender<Decision>>,
+    /// Positions and demand, watched by the readers of the streams.
+    follow: Vec<watch::Sender<Follow>>,
+    wake: watch::Sender<Time>,
+}
+
+/// What the reader of a stream has to do.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Follow {
+    from: Offset,
+    until: Time,
+}
+
+pub(crate) struct ClaimArgs {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) wake: watch::Sender<Time>,
+    pub(crate) follow: Vec<watch::Sender<Follow>>,
+}
+
+/// Makes the channels through which the readers learn what to read.
+pub(crate) fn follow_channels() -> Vec<watch::Sender<Follow>> {
+    let idle = Follow {
+        from: Offset(0),
+        until: Time::ZERO,
+    };
+    (0..SHARDS).map(|_| watch::Sender::new(idle)).collect()
+}
+
+impl Actor for ClaimKeeper {
+    type Args = ClaimArgs;
+    type Error = std::convert::Infallible;
+
+    async fn on_start(args: ClaimArgs, _: ActorRef<Self>) -> Result<Self, Self::Error> {
+        let ClaimArgs {
+            shared,
+            wake,
+            follow,
+        } = args;
+        // A life of the process must differ from each earlier one; no behaviour depends on it.
+        let boot = Boot(rand::random());
+        let cfg = Cfg::new(shared.id, boot);
+        let seed = shared.settings.random_seed ^ shared.id.0;
+        let shard = |i: usize| Shard::new(cfg.clone(), seed.wrapping_add(i as u64));
+        let issuer = Issuer::new(shared.id, boot, shared.settings.keys.clone());
+        let claims = Claims::new((0..SHARDS).map(shard).collect(), issuer);
+        Ok(ClaimKeeper {
+            shared,
+            claims,
+            pending: BTreeMap::new(),
+            follow,
+            wake,
+        })
+    }
+}
+
+impl ClaimKeeper {
+    fn handle_event(&mut self, event: ClaimEvent, me: &ActorRef<Self>) {
+        let now = Now {
+            time: self.shared.clock.now(),
+            at: unix_now(),
+        };
+        let mut actions: VecDeque<_> = self.claims.handle(now, event).into();
+        while let Some(action) = actions.pop_front() {
+            match action.action {
+                Action::Append { batch, records } => self.append(action.shard, batch, records, me),
+                Action::Run(req) => {
+                    // The request may have gone away while its claim was on the way.
+                    if !self.decide(req, Decision::Run) {
+                        actions.extend(self.claims.handle(now, ClaimEvent::Dropped(req)));
+                    }
+                }
+                Action::Answer { req, answer } => {
+                    self.shared.metrics.count(Metric::ClaimsRepeated);
+                    self.decide(req, Decision::Answer(answer));
+                }
+                Action::Refuse { req, refusal } => {
+                    self.decide(req, Decision::Refuse(refusal));
+                }
+            }
+        }
+        self.wake
+            .send_replace(self.claims.next_wake().unwrap_or(Time::MAX));
+        self.update_follow(now.time);
+    }
+
+    fn decide(&mut self, req: ReqId, decision: Decision) -> bool {
+        self.pending
+            .remove(&req)
+            .is_some_and(|tx| tx.send(decision).is_ok())
+    }
+
+    fn append(&self, shard: usize, batch: u64, records: Vec<Vec<u8>>, me: &ActorRef<Self>) {
+        let (shared, me) = (self.shared.clone(), me.clone());
+        let stream = stream_name(&shared, shard);
+        self.shared.tasks.spawn(async move {
+            shared.metrics.count(Metric::LogAppends);
+            let event = match shared.log.append(&stream, records).await {
+                Ok(first) => Event::Appended { batch, first },
+                Err(e) => {
+                    shared.metrics.count(Metric::LogFailures);
+                    Event::AppendFailed {
+                        batch,
+                        may_have_written: e.may_have_written(),
+                    }
+                }
+            };
+            let _ = me
+                .tell(Stream {
+                    shard,
+                    events: vec![event],
+                })
+                .await;
+        });
+    }
+
+    /// Tells the readers which streams to read.
+    fn update_follow(&self, now: Time) {
+        for (tx, shard) in self.follow.iter().zip(self.claims.shards()) {
+            let from = shard.read_from();
+            let wanted = shard.unsettled() > 0;
+            tx.send_if_modified(|f| {
+                let until = if wanted { now + FOLLOW } else { f.until };
+                let changed = f.from != from || (wanted && f.until <= now);
+                *f = Follow { from, until };
+                changed
+            });
+        }
+    }
+}
+
+fn stream_name(shared: &Shared, shard: usize) -> String {
+    format!("claims.{}.{shard}", shared.settings.service)
+}
+
+/// A request asks to run.
+struct Ask {
+    req: ReqId,
+    key: String,
+    request: Fingerprint,
+    deadline: Time,
+    reply: oneshot::Sender<Decision>,
+}
+
+impl Message<Ask> for ClaimKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, ask: Ask, cx: &mut Context<Self, ()>) {
+        let Ask {
+            req,
+            key,
+            request,
+            deadline,
+            reply,
+        } = ask;
+        self.pending.insert(req, reply);
+        let event = ClaimEvent::Ask {
+            req,
+            key,
+            request,
+            deadline,
+        };
+        self.handle_event(event, cx.actor_ref());
+    }
+}
+
+/// An event about a request that has asked.
+struct About(ClaimEvent);
+
+impl Message<About> for ClaimKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, About(event): About, cx: &mut Context<Self, ()>) {
+        if let ClaimEvent::Dropped(req) = &event {
+            self.pending.remove(req);
+        }
+        self.handle_event(event, cx.actor_ref());
+    }
+}
+
+/// Events of a stream.
+pub(crate) struct Stream {
+    shard: usize,
+    events: Vec<Event>,
+}
+
+impl Message<Stream> for ClaimKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Stream, cx: &mut Context<Self, ()>) {
+        for event in msg.events {
+            self.handle_event(ClaimEvent::Stream(msg.shard, event), cx.actor_ref());
+        }
+    }
+}
+
+/// Time has passed.
+pub(crate) struct ClaimTick;
+
+impl Message<ClaimTick> for ClaimKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, _: ClaimTick, cx: &mut Context<Self, ()>) {
+        self.handle_event(ClaimEvent::Tick, cx.actor_ref());
+    }
+}
+
+/// Asks for a block of issued keys.
+pub(crate) struct IssueKeys(pub(crate) usize);
+
+impl Message<IssueKeys> for ClaimKeeper {
+    type Reply = Vec<String>;
+
+    async fn handle(&mut self, msg: IssueKeys, _: &mut Context<Self, Vec<String>>) -> Vec<String> {
+        self.claims.issuer().issue(msg.0)
+    }
+}
+
+/// Asks whether the outcome of an earlier request with the key is known here.
+struct Peek {
+    key: String,
+    request: Fingerprint,
+}
+
+impl Message<Peek> for ClaimKeeper {
+    type Reply = Option<Result<Answer, Code>>;
+
+    async fn handle(&mut self, msg: Peek, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let key = Key::try_from(msg.key.as_str()).ok()?;
+        let shard = self.claims.shards().get(key.shard(SHARDS))?;
+        let entry = shard.fold().get(&key, unix_now())?;
+        if entry.request != msg.request {
+            return Some(Err(Code::KeyMismatch));
+        }
+        match entry.outcome.as_ref()? {
+            Outcome::Kept(answer) => Some(Ok(answer.clone())),
+            Outcome::NotKept { .. } => Some(Err(Code::AlreadyRun)),
+            Outcome::Unknown => Some(Err(Code::OutcomeUnknown)),
+        }
+    }
+}
+
+/// Reads one claim stream while there is demand, until `stop`.
+pub(crate) async fn read_stream(
+    shared: Arc<Shared>,
+    keeper: ActorRef<ClaimKeeper>,
+    shard: usize,
+    mut follow: watch::Receiver<Follow>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let stream = stream_name(&shared, shard);
+    let mut rng = StdRng::seed_from_u64(shared.settings.random_seed ^ shared.id.0 ^ shard as u64);
+    while !*stop.borrow() {
+        let now = shared.clock.now();
+        let Follow { from, until } = *follow.borrow_and_update();
+        if until <= now {
+            tokio::select! {
+                _ = follow.changed() => {}
+                _ = stop.changed() => {}
+            }
+            continue;
+        }
+        let read = tokio::select! {
+            read = shared.log.read(&stream, from, LONG_POLL) => read,
+            _ = stop.changed() => continue,
+        };
+        match events_of(from, read) {
+            Some(events) => {
+                // Waits until the events are applied, so that the next position is known.
+                let _ = keeper.ask(Stream { shard, events }).await;
+            }
+            None => {
+                shared.metrics.count(Metric::LogFailures);
+                let ms = rng.random_range(RETRY_MS);
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+            }
+        }
+    }
+}
+
+/// Turns the answer to a read into events, or nothing if the log is away.
+fn events_of(from: Offset, read: Result<Batch, LogError>) -> Option<Vec<Event>> {
+    match read {
+        Ok(batch) => {
+            let last = batch.records.last().map_or(from, |r| r.offset.next());
+            let read = |r: plat::Record| Event::Read {
+                offset: r.offset,
+                data: r.data,
+            };
+            let mut events: Vec<Event> = batch.records.into_iter().map(read).collect();
+            if last >= batch.end {
+                events.push(Event::End { end: batch.end });
+            }
+            Some(events)
+        }
+        Err(LogError::Expired { oldest, .. }) => Some(vec![Event::Expired { oldest }]),
+        Err(_) => None,
+    }
+}
+
+/// Tells the keeper that the request went away unless it was handed over.
+struct Asked {
+    keeper: ActorRef<ClaimKeeper>,
+    req: ReqId,
+    settled: bool,
+}
+
+impl Drop for Asked {
+    fn drop(&mut self) {
+        if !self.settled {
+            let (keeper, req) = (self.keeper.clone(), self.req);
+            // The keeper's mailbox may be full, so this waits outside of the dropped future.
+            tokio::spawn(async move {
+                let _ = keeper.tell(About(ClaimEvent::Dropped(req))).await;
+            });
+        }
+    }
+}
+
+/// Answers a repeat from what is known here, without a slot and without the log.
+pub(crate) async fn known_answer(shared: &Arc<Shared>, hop: &Hop) -> Option<Response> {
+    let links = shared.links.get()?;
+    let key = hop.key.clone()?;
+    let peek = Peek {
+        key,
+        request: hop.meta.fingerprint,
+    };
+    match links.claims.ask(peek).await.ok()?? {
+        Ok(answer) => {
+            shared.metrics.count(Metric::ClaimsRepeated);
+            Some(kept(answer))
+        }
+        Err(code) => Some(problem::response(code.into())),
+    }
+}
+
+/// Claims the request's key and, if the claim wins, hands the request to the target.
+pub(crate) async fn run_once(
+    shared: &Arc<Shared>,
+    hop: Hop,
+    permit: Permit,
+) -> Result<Response, Refusal> {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let links = shared.links.get().ok_or(Code::NotReady)?;
+    let key = hop.key.clone().ok_or(Code::KeyMissing)?;
+    let req = ReqId(NEXT.fetch_add(1, Ordering::Relaxed));
+    let mut span = shared.tracer.start("claim", &hop.parent);
+    let (reply, decided) = oneshot::channel();
+    let request = hop.meta.fingerprint;
+    let ask = Ask {
+        req,
+        key,
+        request,
+        deadline: hop.deadline,
+        reply,
+    };
+    links
+        .claims
+        .tell(ask)
+        .await
+        .map_err(|_| Code::ClaimUnavailable)?;
+    let asked = Asked {
+        keeper: links.claims.clone(),
+        req,
+        settled: false,
+    };
+    match decided.await {
+        Ok(Decision::Run) => shared.metrics.count(Metric::ClaimsWon),
+        Ok(Decision::Answer(answer)) => return Ok(kept(answer)),
+        Ok(Decision::Refuse(refusal)) => {
+            let unavailable = refusal.code == Code::ClaimUnavailable;
+            let metric = if unavailable {
+                Metric::ClaimsUnavailable
+            } else {
+                Metric::ClaimsLost
+            };
+            shared.metrics.count(metric);
+            span.set("briarlug.code", i64::from(refusal.code.number()));
+            span.fail("refused");
+            return Err(refusal);
+        }
+        Err(_) => return Err(Code::ClaimUnavailable.into()),
+    }
+    drop(span);
+    // A target that takes no connection is found out before the claim becomes irrevocable.
+    beside::check_connect(shared).await?;
+    let (tx, rx) = oneshot::channel();
+    // The run goes on when the caller goes away: a broken transfer would help nobody, and the
+    // outcome is kept for the repeat.
+    shared
+        .tasks
+        .spawn(run(shared.clone(), hop, permit, asked, tx));
+    rx.await.unwrap_or_else(|_| Err(Code::TargetLost.into()))
+}
+
+type Head = Result<Response, Refusal>;
+
+async fn run(
+    shared: Arc<Shared>,
+    mut hop: Hop,
+    permit: Permit,
+    mut asked: Asked,
+    head: oneshot::Sender<Head>,
+) {
+    let keeper = asked.keeper.clone();
+    let req = asked.req;
+    if shared.clock.now() >= hop.deadline {
+        let _ = head.send(Err(Code::DeadlinePassed.into()));
+        return;
+    }
+    if keeper.ask(About(ClaimEvent::Handed(req))).await.is_err() {
+        let _ = head.send(Err(Code::ClaimUnavailable.into()));
+        return;
+    }
+    asked.settled = true;
+    let span = shared.tracer.start("target", &hop.parent);
+    let event = match beside::exchange(&shared, &mut hop, &span).await {
+        Ok(res) => relay(&shared, res, req, head).await,
+        Err(refusal) => {
+            let _ = head.send(Err(after_hand_over(refusal)));
+            ClaimEvent::Lost(req)
+        }
+    };
+    if matches!(event, ClaimEvent::Finished { .. }) {
+        permit.finish_ok();
+    }
+    let _ = keeper.tell(About(event)).await;
+}
+
+/// The claim is spent once the hand-over has begun, so a failure then must not invite a repeat
+/// that would be refused.
+fn after_hand_over(refusal: Refusal) -> Refusal {
+    match refusal.code {
+        Code::TargetDown | Code::DeadlinePassed => Code::TargetLost.into(),
+        _ => refusal,
+    }
+}
+
+/// Passes the answer on while keeping its beginning for repeats.
+async fn relay(
+    shared: &Arc<Shared>,
+    res: reqwest::Response,
+    req: ReqId,
+    head: oneshot::Sender<Head>,
+) -> ClaimEvent {
+    let status = res.status().as_u16();
+    let (tx, rx) = mpsc::channel::<Result<Bytes, std::io::Error>>(ANSWER_PIECES);
+    let mut out = beside::response_head(&res);
+    *out.body_mut() = Body::from_stream(receiver_stream(rx));
+    let _ = head.send(Ok(out));
+    let mut answer = Vec::new();
+    let mut pieces = res.bytes_stream();
+    while let Some(piece) = pieces.next().await {
+        let Ok(piece) = piece else {
+            shared.metrics.count(Metric::AnswersBroken);
+            // The status is known but the answer is not, so a repeat must not get a part of it.
+            let _ = tx.send(Err(std::io::Error::other("target lost"))).await;
+            return ClaimEvent::Lost(req);
+        };
+        if answer.len() <= claim::MAX_ANSWER_BYTES {
+            answer.extend_from_slice(&piece);
+        }
+        // The caller may have gone; the rest is read all the same.
+        let _ = tx.send(Ok(piece)).await;
+    }
+    ClaimEvent::Finished {
+        req,
+        status,
+        answer,
+    }
+}
+
+fn receiver_stream<T>(mut rx: mpsc::Receiver<T>) -> impl futures_util::Stream<Item = T> {
+    futures_util::stream::poll_fn(move |cx| rx.poll_recv(cx))
+}
+
+fn kept(answer: Answer) -> Response {
+    let mut res = Response::new(Body::from(answer.body));
+    *res.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    res.headers_mut()
+        .insert("idempotency-replayed", HeaderValue::from_static("true"));
+    res
+}
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -12,7 +12,9 @@
 
 impl Clock {
     pub(crate) fn new() -> Clock {
-        Clock { start: Instant::now() }
+        Clock {
+            start: Instant::now(),
+        }
     }
 
     pub(crate) fn now(self) -> Time {
@@ -27,6 +29,8 @@
 
 /// Returns the wall-clock time.
 pub(crate) fn unix_now() -> UnixMillis {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     UnixMillis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,341 @@
+//! The actor round [`Spread`]: applying versions, fetching texts, and serving them to peers.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use config::{Delta, Snapshot};
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+use spread::{
+    Action, ConfigText, Contact, Event, FetchError, JoinAnswer, Origin, Peer, Spread, Status,
+};
+use tokio::sync::watch;
+use wire::{Digest, InstanceId, Time, Version};
+
+use crate::datagram::{Active, Datagram};
+use crate::gossip::{Joined, Sender, SetScope};
+use crate::rpc::{self, FetchReply, FetchRequest, Payload};
+use crate::shared::Shared;
+
+/// Earlier texts kept as bases of deltas. A node that is further behind gets the whole text.
+const KEPT_TEXTS: usize = 8;
+
+/// Owns the spread of configuration.
+#[derive(Debug)]
+pub(crate) struct Control {
+    shared: Arc<Shared>,
+    spread: Spread,
+    sender: Sender,
+    wake: watch::Sender<Time>,
+    read_log: watch::Sender<bool>,
+    texts: VecDeque<ConfigText>,
+    /// Deltas from earlier texts to the newest one.
+    deltas: BTreeMap<Version, Delta>,
+}
+
+/// Arguments of [`Control`].
+pub(crate) struct ControlArgs {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) sender: Sender,
+    /// Told when the next [`ControlTick`] is due.
+    pub(crate) wake: watch::Sender<Time>,
+    /// Tells the reader of the log whether to read.
+    pub(crate) read_log: watch::Sender<bool>,
+}
+
+impl Actor for Control {
+    type Args = ControlArgs;
+    type Error = std::convert::Infallible;
+
+    async fn on_start(args: ControlArgs, _: ActorRef<Self>) -> Result<Self, Self::Error> {
+        let ControlArgs {
+            shared,
+            sender,
+            wake,
+            read_log,
+        } = args;
+        let s = &shared.settings;
+        let own = SocketAddr::new(s.address, s.ports.rpc);
+        let settings = spread::Settings {
+            me: shared.id,
+            domain: s.domain.clone(),
+            seeds: s.seeds.iter().copied().filter(|a| *a != own).collect(),
+        };
+        let spread = Spread::new(settings, s.random_seed ^ shared.id.0);
+        wake.send_replace(shared.clock.now());
+        let (texts, deltas) = (VecDeque::new(), BTreeMap::new());
+        Ok(Control {
+            shared,
+            spread,
+            sender,
+            wake,
+            read_log,
+            texts,
+            deltas,
+        })
+    }
+}
+
+impl Control {
+    async fn handle_event(&mut self, event: Event, me: &ActorRef<Self>) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            for action in self.spread.handle(self.shared.clock.now(), event) {
+                events.extend(self.perform(action, me).await);
+            }
+        }
+    }
+
+    /// Does what the spread asks for; returns the result if it is known at once.
+    async fn perform(&mut self, action: Action, me: &ActorRef<Self>) -> Option<Event> {
+        match action {
+            Action::ReadLog(on) => {
+                self.read_log.send_replace(on);
+            }
+            Action::Join { to } => self.start_join(to, me),
+            Action::Announce {
+                to,
+                version,
+                digest,
+            } => self.announce(to, version, digest),
+            Action::Fetch { from, have, digest } => self.start_fetch(from, have, digest, me),
+            Action::Apply(text) => return Some(self.apply(text).await),
+            Action::Ready => self.shared.set_ready(true),
+            Action::NotReady => self.shared.set_ready(false),
+        }
+        None
+    }
+
+    async fn apply(&mut self, text: ConfigText) -> Event {
+        let mesh = &self.shared.settings.mesh;
+        let compiled = match text.version {
+            Version(0) => Ok(Snapshot::empty(mesh)),
+            version => Snapshot::compile(version, mesh, text.text.clone()),
+        };
+        let snapshot = match compiled {
+            Ok(snapshot) => Arc::new(snapshot),
+            Err(rejection) => {
+                log::error!("version {} not applied: {rejection}", text.version);
+                return Event::ApplyFailed(text.version);
+            }
+        };
+        let version = text.version;
+        self.texts.push_back(text);
+        if self.texts.len() > KEPT_TEXTS {
+            self.texts.pop_front();
+        }
+        self.deltas.clear();
+        self.shared.set_snapshot(snapshot.clone());
+        if let Some(links) = self.shared.links.get() {
+            let _ = links
+                .gossip
+                .tell(SetScope(self.shared.scope(&snapshot)))
+                .await;
+        }
+        Event::Applied(version)
+    }
+
+    fn announce(&self, to: InstanceId, version: Version, digest: Digest) {
+        let Some(addr) = self.shared.members.load().get(&to).map(|r| r.gossip) else {
+            return;
+        };
+        let active = Active { version, digest };
+        self.sender.send(
+            addr,
+            &Datagram::Announce {
+                from: self.shared.id,
+                active,
+            },
+        );
+    }
+
+    fn start_join(&self, to: Contact, me: &ActorRef<Self>) {
+        let (shared, me) = (self.shared.clone(), me.clone());
+        let addr = match to {
+            Contact::Seed(addr) => Some(addr),
+            Contact::Peer(id) => shared.members.load().get(&id).map(|r| r.rpc),
+        };
+        self.shared.tasks.spawn(async move {
+            let scope = shared.scope(&shared.snapshot());
+            let reply = match addr {
+                Some(addr) => rpc::join(&shared, addr, scope).await.ok(),
+                None => None,
+            };
+            let Some(reply) = reply else {
+                let _ = me.tell(SpreadEvent(Event::JoinFailed { to })).await;
+                return;
+            };
+            let (from, active) = (reply.from, reply.active);
+            let floor = reply.member.floor;
+            if let Some(links) = shared.links.get() {
+                let _ = links.gossip.tell(Joined(reply.member)).await;
+            }
+            let answer = JoinAnswer {
+                from,
+                version: active.version,
+                digest: active.digest,
+                floor,
+            };
+            let _ = me.tell(SpreadEvent(Event::Joined { to, answer })).await;
+        });
+    }
+
+    fn start_fetch(&self, from: InstanceId, have: Version, digest: Digest, me: &ActorRef<Self>) {
+        let (shared, me) = (self.shared.clone(), me.clone());
+        let addr = shared.members.load().get(&from).map(|r| r.rpc);
+        let base = self.spread.active().text.clone();
+        self.shared.tasks.spawn(async move {
+            let req = FetchRequest {
+                version: have,
+                digest,
+            };
+            let result = match addr {
+                Some(addr) => match rpc::fetch(&shared, addr, req).await {
+                    Ok(reply) => unpack(reply, &base),
+                    Err(_) => Err(FetchError::Failed),
+                },
+                None => Err(FetchError::Failed),
+            };
+            let _ = me.tell(SpreadEvent(Event::Fetched { from, result })).await;
+        });
+    }
+
+    fn fetch_reply(&mut self, req: FetchRequest) -> FetchReply {
+        let newest = self.spread.active().clone();
+        let reply = |payload| FetchReply {
+            version: newest.version,
+            digest: newest.digest,
+            payload,
+        };
+        if newest.version <= req.version {
+            return reply(Payload::Nothing);
+        }
+        if let Some(delta) = self.deltas.get(&req.version)
+            && delta.base() == req.digest
+        {
+            return reply(Payload::Delta(delta.clone()));
+        }
+        let base = self
+            .texts
+            .iter()
+            .find(|t| t.version == req.version && t.digest == req.digest);
+        let Some(base) = base else {
+            return reply(Payload::Whole(newest.text.to_string()));
+        };
+        let delta = Delta::between(&base.text, &newest.text);
+        self.deltas.insert(req.version, delta.clone());
+        reply(Payload::Delta(delta))
+    }
+}
+
+/// Returns the fetched text; a delta that doesn't give the promised digest counts as a failure,
+/// after which the whole text is asked for.
+fn unpack(reply: FetchReply, base: &str) -> Result<ConfigText, FetchError> {
+    let text = match reply.payload {
+        Payload::Nothing => return Err(FetchError::Nothing),
+        Payload::Whole(text) => text,
+        Payload::Delta(delta) => delta.apply(base).map_err(|_| FetchError::Failed)?,
+    };
+    Ok(ConfigText {
+        version: reply.version,
+        digest: reply.digest,
+        text: text.into(),
+    })
+}
+
+/// An event of the spread.
+pub(crate) struct SpreadEvent(pub(crate) Event);
+
+impl Message<SpreadEvent> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, SpreadEvent(event): SpreadEvent, cx: &mut Context<Self, ()>) {
+        self.handle_event(event, cx.actor_ref()).await;
+    }
+}
+
+/// Time has passed.
+pub(crate) struct ControlTick;
+
+impl Message<ControlTick> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, _: ControlTick, cx: &mut Context<Self, ()>) {
+        self.handle_event(Event::Tick, cx.actor_ref()).await;
+        self.wake
+            .send_replace(self.shared.clock.now() + spread::TICK);
+    }
+}
+
+/// The view of the members has changed.
+pub(crate) struct PeersChanged;
+
+impl Message<PeersChanged> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, _: PeersChanged, cx: &mut Context<Self, ()>) {
+        let own = self.shared.id;
+        let peer = |r: &member::Record| Peer {
+            id: r.id,
+            domain: r.domain.clone(),
+            ready: r.state == member::State::Ready,
+        };
+        let members = self.shared.members.load_full();
+        let peers = members.values().filter(|r| r.id != own).map(peer).collect();
+        self.handle_event(Event::Peers(peers), cx.actor_ref()).await;
+    }
+}
+
+/// A peer told its active version.
+pub(crate) struct Heard {
+    pub(crate) from: InstanceId,
+    pub(crate) active: Active,
+    pub(crate) origin: Origin,
+}
+
+impl Message<Heard> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, heard: Heard, cx: &mut Context<Self, ()>) {
+        let Heard {
+            from,
+            active: Active { version, digest },
+            origin,
+        } = heard;
+        let event = Event::Announced {
+            from,
+            version,
+            digest,
+            origin,
+        };
+        self.handle_event(event, cx.actor_ref()).await;
+    }
+}
+
+/// Asks for the configuration for a peer.
+pub(crate) struct MakeFetchReply(pub(crate) FetchRequest);
+
+impl Message<MakeFetchReply> for Control {
+    type Reply = FetchReply;
+
+    async fn handle(
+        &mut self,
+        MakeFetchReply(req): MakeFetchReply,
+        _: &mut Context<Self, FetchReply>,
+    ) -> FetchReply {
+        self.fetch_reply(req)
+    }
+}
+
+/// Asks for state and counters.
+pub(crate) struct GetStatus;
+
+impl Message<GetStatus> for Control {
+    type Reply = Status;
+
+    async fn handle(&mut self, _: GetStatus, _: &mut Context<Self, Status>) -> Status {
+        self.spread.status()
+    }
+}
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -20,7 +20,7 @@
 use crate::headers::{HOP, HopMeta, sign_hop, strip_hop_by_hop, strip_own};
 use crate::problem;
 use crate::services::{Chosen, ServiceState};
-use crate::shared::Shared;
+use crate::shared::{InProgress, Shared};
 
 /// Lets the refusal of the node beside the target arrive before this node's own time-out.
 const DEADLINE_GRACE: Duration = Duration::from_millis(50);
@@ -36,6 +36,7 @@
     req: Request,
 ) -> Response {
     shared.metrics.count(Metric::Requests);
+    let in_progress = shared.in_progress();
     let parent = ParentContext::parse(text(req.headers(), "traceparent").unwrap_or_default());
     let mut span = shared.tracer.start("entry", &parent);
     let result = match Call::prepare(&shared, from, req, &span).await {
@@ -43,7 +44,7 @@
         Err(refusal) => Err(refusal),
     };
     match result {
-        Ok(answer) => answer.into_response(&shared, span),
+        Ok(answer) => answer.into_response(&shared, span, in_progress),
         Err(refusal) => {
             span.set("briarlug.code", i64::from(refusal.code.number()));
             span.fail("refused");
@@ -88,9 +89,18 @@
         shared.check_serving()?;
         let snapshot = shared.snapshot();
         let (parts, body) = req.into_parts();
-        let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
-        let route = snapshot.route_for(parts.method.as_str(), &path).ok_or(Code::NoRoute)?;
-        let service = shared.services.get(&route.service).ok_or(Code::OutOfScope)?;
+        let path = parts
+            .uri
+            .path_and_query()
+            .map_or("/", |p| p.as_str())
+            .to_owned();
+        let route = snapshot
+            .route_for(parts.method.as_str(), &path)
+            .ok_or(Code::NoRoute)?;
+        let service = shared
+            .services
+            .get(&route.service)
+            .ok_or(Code::OutOfScope)?;
         let now = shared.clock.now();
         let deadline = now + time_allowed(&parts.headers, route)?;
         let key = text(&parts.headers, "idempotency-key").map(str::to_owned);
@@ -137,12 +147,17 @@
 
     async fn run(mut self) -> Result<Answer, Refusal> {
         let idempotent = self.meta.repeat == Repeat::Safe;
+        let route = RouteKey(self.meta.route);
         let mut attempts = Attempts::new(idempotent);
         let mut refusal = Refusal::from(Code::NoInstance);
         loop {
             let now = self.shared.clock.now();
-            let ask = Ask { exclude: attempts.tried(), hedge: false, repeatable: idempotent };
-            let Some(chosen) = self.service.begin(now, &ask) else {
+            let ask = Ask {
+                exclude: attempts.tried(),
+                hedge: false,
+                repeatable: idempotent,
+            };
+            let Some(chosen) = self.service.begin(now, &ask, route) else {
                 if !attempts.tried().is_empty() {
                     self.service.refund_retry();
                 }
@@ -164,7 +179,11 @@
                 remaining: self.deadline - self.shared.clock.now(),
             };
             let now = self.shared.clock.now();
-            if self.service.may_retry(now, &attempts, &failure).is_err() {
+            if self
+                .service
+                .may_retry(now, &attempts, &failure, route)
+                .is_err()
+            {
                 return Err(refusal);
             }
             if self.shared.is_quarantined(self.meta.fingerprint) {
@@ -184,15 +203,26 @@
         let first = self.attempt(chosen, attempts.tried().len());
         let route = RouteKey(self.meta.route);
         let delay = self.service.hedge_delay(route).filter(|_| self.hedge);
-        let Some(delay) = delay else { return first.await };
+        let Some(delay) = delay else {
+            return first.await;
+        };
         let mut first = Box::pin(first);
         if let Ok(reply) = tokio::time::timeout(delay, &mut first).await {
             return reply;
         }
         let now = self.shared.clock.now();
-        let ask = Ask { exclude: attempts.tried(), hedge: true, repeatable: true };
-        let second = attempts.any_left().then(|| self.service.begin_hedge(now, &ask)).flatten();
-        let Some(second) = second else { return first.await };
+        let ask = Ask {
+            exclude: attempts.tried(),
+            hedge: true,
+            repeatable: true,
+        };
+        let second = attempts
+            .any_left()
+            .then(|| self.service.begin_hedge(now, &ask, route))
+            .flatten();
+        let Some(second) = second else {
+            return first.await;
+        };
         attempts.add(second.pick.id);
         self.shared.metrics.count(Metric::Hedges);
         let second = Box::pin(self.attempt(second, attempts.tried().len()));
@@ -258,7 +288,9 @@
 /// Sends a request to the node beside the target.
 async fn send(shared: &Arc<Shared>, addr: SocketAddr, mut hop: Hop) -> Sent {
     let whole = hop.body.rest.is_none();
-    let Some(body) = hop.body.take(whole) else { return Sent::Lost };
+    let Some(body) = hop.body.take(whole) else {
+        return Sent::Lost;
+    };
     let meta = hop.meta.encode();
     let mac = sign_hop(&shared.settings.keys, &hop.method, &hop.path, &meta);
     let mut headers = hop.headers;
@@ -268,7 +300,11 @@
         insert(&mut headers, "traceparent", &parent);
     }
     let url = format!("http://{addr}{}", hop.path);
-    let req = shared.peer_client.request(hop.method, url).headers(headers).body(body);
+    let req = shared
+        .peer_client
+        .request(hop.method, url)
+        .headers(headers)
+        .body(body);
     let timeout = shared.clock.instant(hop.deadline + DEADLINE_GRACE);
     match tokio::time::timeout_at(timeout, req.send()).await {
         Ok(Ok(res)) => Sent::Response(res),
@@ -321,7 +357,10 @@
             Sent::TimedOut => (Kind::TimedOut, Code::TargetTimeout),
         };
         self.finish(kind.into());
-        Err(Failed { kind, refusal: code.into() })
+        Err(Failed {
+            kind,
+            refusal: code.into(),
+        })
     }
 
     fn classify(
@@ -340,11 +379,23 @@
             };
             self.finish(Outcome { kind, load });
             let retry_after = problem::retry_after_of(&headers);
-            return Err(Failed { kind, refusal: Refusal { code, retry_after } });
+            return Err(Failed {
+                kind,
+                refusal: Refusal { code, retry_after },
+            });
         }
         strip_own(&mut headers);
         strip_hop_by_hop(&mut headers);
-        Ok(Answer { status, headers, length, source, in_flight: self, load })
+        self.service
+            .answered(self.shared.clock.now(), self.chosen.ticket, load);
+        Ok(Answer {
+            status,
+            headers,
+            length,
+            source,
+            in_flight: self,
+            load,
+        })
     }
 
     fn finish(&mut self, outcome: Outcome) {
@@ -381,13 +432,13 @@
 }
 
 impl Answer {
-    fn into_response(self, shared: &Arc<Shared>, span: Span) -> Response {
+    fn into_response(self, shared: &Arc<Shared>, span: Span, in_progress: InProgress) -> Response {
         let mut res = Response::new(Body::empty());
         *res.status_mut() = self.status;
         *res.headers_mut() = self.headers;
         let (mut in_flight, load, shared) = (self.in_flight, self.load, shared.clone());
         let report = move |end| {
-            let _span = span;
+            let _held = (span, in_progress);
             let (kind, metric) = match end {
                 End::Whole => (Kind::Ok, Metric::AnswersWhole),
                 End::Broken => (Kind::Lost, Metric::AnswersBroken),
@@ -409,8 +460,14 @@
 
 /// Returns the time for the request: the caller's, but never more than the route's.
 fn time_allowed(headers: &HeaderMap, route: &Route) -> Result<Duration, Code> {
-    let Some(value) = headers.get(wire::TIMEOUT_MS) else { return Ok(route.timeout) };
-    let ms = value.to_str().ok().and_then(|v| v.parse().ok()).ok_or(Code::BadHeader)?;
+    let Some(value) = headers.get(wire::TIMEOUT_MS) else {
+        return Ok(route.timeout);
+    };
+    let ms = value
+        .to_str()
+        .ok()
+        .and_then(|v| v.parse().ok())
+        .ok_or(Code::BadHeader)?;
     if ms == 0 {
         return Err(Code::DeadlinePassed);
     }
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -44,8 +44,15 @@
 impl Gate {
     pub(crate) fn new(clock: Clock, limits: Limits) -> Arc<Gate> {
         let admission = Admission::new(limits, clock.now());
-        let inner = Mutex::new(Inner { admission, waiting: SecondaryMap::new() });
-        Arc::new(Gate { clock, inner, changed: Notify::new() })
+        let inner = Mutex::new(Inner {
+            admission,
+            waiting: SecondaryMap::new(),
+        });
+        Arc::new(Gate {
+            clock,
+            inner,
+            changed: Notify::new(),
+        })
     }
 
     /// Waits for a slot.
@@ -58,12 +65,18 @@
                 Verdict::Queue(key) => {
                     let (tx, rx) = oneshot::channel();
                     inner.waiting.insert(key, tx);
-                    Waiter { gate: self.clone(), key, rx: Some(rx) }
+                    Waiter {
+                        gate: self.clone(),
+                        key,
+                        rx: Some(rx),
+                    }
                 }
             }
         };
         self.changed.notify_one();
-        let Some(rx) = waiter.rx.as_mut() else { return Err(Code::CannotStartInTime.into()) };
+        let Some(rx) = waiter.rx.as_mut() else {
+            return Err(Code::CannotStartInTime.into());
+        };
         let decision = rx.await;
         waiter.rx = None;
         match decision {
@@ -113,7 +126,11 @@
     }
 
     fn permit(self: &Arc<Self>, key: Key) -> Permit {
-        Permit { gate: self.clone(), key, ok: false }
+        Permit {
+            gate: self.clone(),
+            key,
+            ok: false,
+        }
     }
 
     fn update(&self, f: impl FnOnce(&mut Admission, Clock)) {
@@ -164,6 +181,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         let (key, ok) = (self.key, self.ok);
-        self.gate.update(|a, clock| a.finish(clock.now(), key, Finish { ok }));
+        self.gate
+            .update(|a, clock| a.finish(clock.now(), key, Finish { ok }));
     }
 }
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -38,8 +38,11 @@
 
 /// Removes all headers of this system, so that neither callers nor targets can forge them.
 pub(crate) fn strip_own(headers: &mut HeaderMap) {
-    let own: Vec<HeaderName> =
-        headers.keys().filter(|k| k.as_str().starts_with(OWN_PREFIX)).cloned().collect();
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|k| k.as_str().starts_with(OWN_PREFIX))
+        .cloned()
+        .collect();
     for name in own {
         headers.remove(name);
     }
@@ -89,8 +92,17 @@
     /// Decodes what [`HopMeta::encode`] wrote.
     pub(crate) fn decode(s: &str) -> Option<HopMeta> {
         let parts: Vec<&str> = s.split(';').collect();
-        let [version, service, route, repeat, class, remaining, caller, fingerprint, attempt] =
-            parts[..]
+        let [
+            version,
+            service,
+            route,
+            repeat,
+            class,
+            remaining,
+            caller,
+            fingerprint,
+            attempt,
+        ] = parts[..]
         else {
             return None;
         };
@@ -120,10 +132,29 @@
 
 /// Returns the keyed hash that authenticates a hop.
 pub(crate) fn sign_hop(keys: &KeyRing, method: &Method, path: &str, meta: &str) -> String {
-    keys.sign(&[b"hop", method.as_str().as_bytes(), path.as_bytes(), meta.as_bytes()])
+    keys.sign(&[
+        b"hop",
+        method.as_str().as_bytes(),
+        path.as_bytes(),
+        meta.as_bytes(),
+    ])
 }
 
 /// Checks a hash made by [`sign_hop`].
-pub(crate) fn verify_hop(keys: &KeyRing, method: &Method, path: &str, meta: &str, mac: &str) -> bool {
-    keys.verify(&[b"hop", method.as_str().as_bytes(), path.as_bytes(), meta.as_bytes()], mac)
+pub(crate) fn verify_hop(
+    keys: &KeyRing,
+    method: &Method,
+    path: &str,
+    meta: &str,
+    mac: &str,
+) -> bool {
+    keys.verify(
+        &[
+            b"hop",
+            method.as_str().as_bytes(),
+            path.as_bytes(),
+            meta.as_bytes(),
+        ],
+        mac,
+    )
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,37 @@
 //! Sockets, files and timers round the core.
+//!
+//! - `node`: start and graceful shutdown.
+//! - `entry`: requests of callers. `peers`: requests of other nodes. `beside`: admission and
+//!   hand-over at the node beside the target. `claims`: requests that must not be repeated.
+//! - `gossip`, `control`, `claims`: the actors round the state machines of `member`, `spread` and
+//!   `claim`.
+//! - `rpc`: transfers between nodes.
+
+mod beside;
+mod body;
+mod claims;
+mod clock;
+mod control;
+mod datagram;
+mod entry;
+mod error;
+mod gate;
+mod gossip;
+mod headers;
+mod local;
+mod node;
+mod operator;
+mod peers;
+mod problem;
+mod reader;
+mod rpc;
+mod services;
+mod settings;
+mod shared;
+mod target;
+
+pub use error::StartError;
+pub use node::{Addresses, Node};
+pub use operator::{MemberReport, StateReport};
+pub use reader::{CONFIG_STREAM, fold_to_end};
+pub use settings::{Ports, Settings, SettingsError};
--- /dev/null
+++ b/crates/node/src/local.rs
@@ -0,0 +1,58 @@
+//! Watches the own target and node and reports their state to membership.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use member::{LocalState, State};
+use tokio::sync::watch;
+
+use crate::gossip::SetLocal;
+use crate::shared::Shared;
+use crate::target::Phase;
+
+/// The lease of an announcement lapses without an event, so the state is read this often too.
+const CHECK: Duration = Duration::from_millis(250);
+
+/// Reports each change until `stop`.
+pub(crate) async fn watch(shared: Arc<Shared>, mut stop: watch::Receiver<bool>) {
+    let mut reported = None;
+    while !*stop.borrow() {
+        let state = local_state(&shared);
+        if reported != Some(state)
+            && let Some(links) = shared.links.get()
+            && links.gossip.tell(SetLocal(state)).await.is_ok()
+        {
+            reported = Some(state);
+        }
+        tokio::select! {
+            () = shared.local_changed.notified() => {}
+            () = tokio::time::sleep(CHECK) => {}
+            _ = stop.changed() => {}
+        }
+    }
+}
+
+fn local_state(shared: &Shared) -> LocalState {
+    let snapshot = shared.snapshot();
+    let phase = shared.target.phase(shared.clock.now());
+    let state = match phase {
+        _ if shared.is_draining() => State::Draining,
+        Phase::Draining => State::Draining,
+        Phase::Up if shared.is_ready() => State::Ready,
+        _ => State::Starting,
+    };
+    let slots = snapshot
+        .service(&shared.settings.service)
+        .map_or(1, |s| s.slots);
+    LocalState {
+        state,
+        version: snapshot.version(),
+        digest_prefix: digest_prefix(&snapshot),
+        slots,
+    }
+}
+
+fn digest_prefix(snapshot: &config::Snapshot) -> u32 {
+    let d = snapshot.digest().0;
+    u32::from_be_bytes([d[0], d[1], d[2], d[3]])
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,417 @@
+//! A running node: its listeners, actors and tasks.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use axum::Router;
+use axum::serve::ListenerExt;
+use kameo::actor::{ActorRef, Spawn};
+use member::{Member, Record};
+use ops::{Metrics, Tracer};
+use plat::Log;
+use snafu::ResultExt;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use wire::{Incarnation, Time, Version};
+
+use crate::claims::{self, ClaimArgs, ClaimKeeper, ClaimTick};
+use crate::control::{Control, ControlArgs, ControlTick};
+use crate::error::{BindSnafu, MetricsSnafu, StartError, TracesSnafu};
+use crate::gossip::{Gossip, GossipArgs, Sender, Tick};
+use crate::settings::Settings;
+use crate::shared::{Links, Shared};
+use crate::{entry, gossip, local, operator, peers, reader, rpc, target};
+
+const METRICS_FLUSH: Duration = Duration::from_secs(1);
+/// How long a leaving node goes on answering, so that others hear of it before it is gone.
+const LEAVE_NOTICE: Duration = Duration::from_millis(500);
+/// Tasks that have not ended by then hold connections that the drain timeout has given up.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(3);
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Addresses on which a node listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// Requests of callers.
+    pub callers: SocketAddr,
+    /// Requests of other nodes.
+    pub peers: SocketAddr,
+    /// Announcements of the target.
+    pub target: SocketAddr,
+    /// Transfers between nodes.
+    pub rpc: SocketAddr,
+    /// Gossip.
+    pub gossip: SocketAddr,
+    /// Health and state for operators.
+    pub operator: SocketAddr,
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    shared: Arc<Shared>,
+    addresses: Addresses,
+    /// Stops the listeners; requests in progress end first.
+    stop: watch::Sender<bool>,
+    tasks: JoinSet<()>,
+}
+
+struct Bound {
+    callers: TcpListener,
+    peers: TcpListener,
+    target: TcpListener,
+    rpc: TcpListener,
+    operator: TcpListener,
+    gossip: Arc<UdpSocket>,
+}
+
+impl Bound {
+    async fn new(s: &Settings) -> Result<Bound, StartError> {
+        // The target is on the same instance; nobody else may announce for it.
+        let inner: IpAddr = if s.address.is_loopback() {
+            s.address
+        } else {
+            [127, 0, 0, 1].into()
+        };
+        Ok(Bound {
+            callers: tcp("callers", (s.address, s.ports.callers).into()).await?,
+            peers: tcp("peers", (s.address, s.ports.peers).into()).await?,
+            target: tcp("target", (inner, s.ports.target).into()).await?,
+            rpc: tcp("rpc", (s.address, s.ports.rpc).into()).await?,
+            operator: tcp("operator", (s.address, s.ports.operator).into()).await?,
+            gossip: udp((s.address, s.ports.gossip).into()).await?,
+        })
+    }
+
+    fn addresses(&self) -> std::io::Result<Addresses> {
+        Ok(Addresses {
+            callers: self.callers.local_addr()?,
+            peers: self.peers.local_addr()?,
+            target: self.target.local_addr()?,
+            rpc: self.rpc.local_addr()?,
+            gossip: self.gossip.local_addr()?,
+            operator: self.operator.local_addr()?,
+        })
+    }
+}
+
+async fn tcp(what: &'static str, addr: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(addr)
+        .await
+        .context(BindSnafu { what, addr })
+}
+
+async fn udp(addr: SocketAddr) -> Result<Arc<UdpSocket>, StartError> {
+    let bound = UdpSocket::bind(addr).await.context(BindSnafu {
+        what: "gossip",
+        addr,
+    })?;
+    Ok(Arc::new(bound))
+}
+
+impl Node {
+    /// Binds the listeners and starts the node. It serves once it has a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound or an exporter can't be set up.
+    pub async fn start(settings: Settings, log: Arc<dyn Log>) -> Result<Node, StartError> {
+        let metrics = Arc::new(Metrics::new(settings.statsd).context(MetricsSnafu)?);
+        let tracer = match &settings.trace {
+            Some(cfg) => Tracer::new(cfg).context(TracesSnafu)?,
+            None => Tracer::off(),
+        };
+        let bound = Bound::new(&settings).await?;
+        let at = (settings.address, 0).into();
+        let addresses = bound.addresses().context(BindSnafu {
+            what: "addresses",
+            addr: at,
+        })?;
+        let shared = Shared::new(settings, log, metrics, tracer)?;
+        let (stop, stopped) = watch::channel(false);
+        let mut node = Node {
+            shared,
+            addresses,
+            stop,
+            tasks: JoinSet::new(),
+        };
+        node.start_actors(&bound, &stopped);
+        node.start_listeners(bound, &stopped);
+        Ok(node)
+    }
+
+    /// Returns the addresses on which the node listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Returns whether the node serves requests.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Returns the version in force.
+    pub fn version(&self) -> Version {
+        self.shared.snapshot().version()
+    }
+
+    /// Returns the number of members, the own one included, that take work.
+    pub fn ready_members(&self) -> usize {
+        let members = self.shared.members.load();
+        members
+            .values()
+            .filter(|r| r.state == member::State::Ready)
+            .count()
+    }
+
+    /// Returns the control bytes sent so far.
+    pub fn control_bytes(&self) -> u64 {
+        self.shared.metrics.get(ops::Metric::ControlBytesOut)
+    }
+
+    /// Returns what the node reports of itself and of the mesh.
+    pub async fn report(&self) -> operator::StateReport {
+        operator::report(&self.shared).await
+    }
+
+    /// Shuts down gracefully: refuses new work, lets requests in progress end, joins all tasks.
+    pub async fn shutdown(mut self) {
+        log::info!("node draining");
+        self.shared.start_draining();
+        let drained = tokio::time::timeout(self.shared.settings.drain_timeout, self.drained());
+        if drained.await.is_err() {
+            log::warn!("drain timeout, requests in progress are cut");
+        }
+        if let Some(links) = self.shared.links.get() {
+            let _ = links.gossip.ask(gossip::Leave).await;
+        }
+        let _ = self.stop.send(true);
+        self.stop_actors().await;
+        self.shared.tasks.close();
+        if tokio::time::timeout(JOIN_TIMEOUT, join_all(&mut self.tasks))
+            .await
+            .is_err()
+        {
+            self.tasks.shutdown().await;
+        }
+        let tracer = self.shared.tracer.clone();
+        // The exporter blocks while it sends what is left.
+        let _ = tokio::task::spawn_blocking(move || tracer.shutdown()).await;
+        self.shared.metrics.flush();
+        log::info!("node stopped");
+    }
+
+    async fn drained(&self) {
+        tokio::time::sleep(LEAVE_NOTICE).await;
+        while self.shared.requests.load(Ordering::SeqCst) > 0 || !self.shared.gate.is_idle() {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        self.shared.tasks.close();
+        self.shared.tasks.wait().await;
+    }
+
+    async fn stop_actors(&self) {
+        let Some(links) = self.shared.links.get() else {
+            return;
+        };
+        stop_actor(&links.claims).await;
+        stop_actor(&links.control).await;
+        stop_actor(&links.gossip).await;
+    }
+
+    fn start_actors(&mut self, bound: &Bound, stopped: &watch::Receiver<bool>) {
+        let s = &self.shared;
+        let keys = s.settings.keys.clone();
+        let sender = Sender::new(bound.gossip.clone(), keys, s.metrics.clone());
+        let seed = s.settings.random_seed ^ s.id.0;
+        let (gossip_wake, control_wake, claim_wake) = (
+            watch::Sender::new(Time::MAX),
+            watch::Sender::new(Time::MAX),
+            watch::Sender::new(Time::MAX),
+        );
+        let follow = claims::follow_channels();
+        let followers: Vec<_> = follow.iter().map(watch::Sender::subscribe).collect();
+        let (gossip_due, control_due, claim_due) = (
+            gossip_wake.subscribe(),
+            control_wake.subscribe(),
+            claim_wake.subscribe(),
+        );
+
+        let (read_log, reading) = watch::channel(false);
+        let control = Control::spawn(ControlArgs {
+            shared: s.clone(),
+            sender: sender.clone(),
+            wake: control_wake,
+            read_log,
+        });
+        let gossip = Gossip::spawn(GossipArgs {
+            shared: s.clone(),
+            member: Member::new(member::Config::default(), self.own_record(), seed),
+            sender,
+            wake: gossip_wake,
+        });
+        let claims = ClaimKeeper::spawn(ClaimArgs {
+            shared: s.clone(),
+            wake: claim_wake,
+            follow,
+        });
+        let links = Links {
+            gossip: gossip.clone(),
+            control: control.clone(),
+            claims: claims.clone(),
+        };
+        let _ = s.links.set(links);
+
+        let (shared, stop) = (self.shared.clone(), stopped);
+        let clock = shared.clock;
+        let g = gossip.clone();
+        self.tasks
+            .spawn(timer(clock, gossip_due, stop.clone(), async move || {
+                let _ = g.tell(Tick).await;
+            }));
+        let c = control.clone();
+        self.tasks
+            .spawn(timer(clock, control_due, stop.clone(), async move || {
+                let _ = c.tell(ControlTick).await;
+            }));
+        let k = claims.clone();
+        self.tasks
+            .spawn(timer(clock, claim_due, stop.clone(), async move || {
+                let _ = k.tell(ClaimTick).await;
+            }));
+        for (i, follower) in followers.into_iter().enumerate() {
+            let keeper = claims.clone();
+            self.tasks.spawn(claims::read_stream(
+                shared.clone(),
+                keeper,
+                i,
+                follower,
+                stop.clone(),
+            ));
+        }
+        self.tasks.spawn(reader::read_log(
+            shared.clone(),
+            control,
+            reading,
+            stop.clone(),
+        ));
+        self.tasks.spawn(gossip::receive(
+            shared.clone(),
+            bound.gossip.clone(),
+            stop.clone(),
+        ));
+        self.tasks.spawn(local::watch(shared.clone(), stop.clone()));
+        self.tasks
+            .spawn(shared.gate.clone().run_timer(stop.clone()));
+        self.tasks.spawn(flush_metrics(shared, stop.clone()));
+    }
+
+    fn start_listeners(&mut self, bound: Bound, stopped: &watch::Receiver<bool>) {
+        let s = &self.shared;
+        let entry = entry::router(s.clone());
+        let peers = peers::router(s.clone());
+        let target = target::router(s.clone());
+        let operator = operator::router(s.clone());
+        self.tasks
+            .spawn(serve(bound.callers, entry, stopped.clone()));
+        self.tasks.spawn(serve(bound.peers, peers, stopped.clone()));
+        self.tasks
+            .spawn(serve(bound.target, target, stopped.clone()));
+        self.tasks
+            .spawn(serve(bound.operator, operator, stopped.clone()));
+        self.tasks
+            .spawn(rpc::serve(self.shared.clone(), bound.rpc, stopped.clone()));
+    }
+
+    fn own_record(&self) -> Record {
+        let s = &self.shared.settings;
+        Record {
+            id: self.shared.id,
+            name: s.name.as_str().into(),
+            incarnation: first_incarnation(),
+            service: s.service.clone(),
+            region: s.region.as_str().into(),
+            domain: s.domain.clone(),
+            gossip: self.addresses.gossip,
+            rpc: self.addresses.rpc,
+            data: self.addresses.peers,
+            state: member::State::Starting,
+            version: Version(0),
+            digest_prefix: 0,
+            slots: 1,
+        }
+    }
+}
+
+/// Starts above the incarnations of earlier lives, which saves a refutation. A clock that was set
+/// back costs one refutation and nothing else.
+fn first_incarnation() -> Incarnation {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Incarnation(since.as_secs())
+}
+
+async fn join_all(tasks: &mut JoinSet<()>) {
+    while tasks.join_next().await.is_some() {}
+}
+
+async fn stop_actor<A: kameo::Actor>(actor: &ActorRef<A>) {
+    let _ = actor.stop_gracefully().await;
+    actor.wait_for_shutdown().await;
+}
+
+/// Calls `tick` whenever the watched time is reached, until `stop`.
+async fn timer(
+    clock: crate::clock::Clock,
+    mut due: watch::Receiver<Time>,
+    mut stop: watch::Receiver<bool>,
+    tick: impl AsyncFn(),
+) {
+    while !*stop.borrow() {
+        let at = *due.borrow_and_update();
+        tokio::select! {
+            () = tokio::time::sleep_until(clock.instant(at)) => {
+                tick().await;
+                // The actor sets the next time while it handles the tick.
+                tokio::select! {
+                    _ = due.changed() => {}
+                    _ = stop.changed() => {}
+                }
+            }
+            _ = due.changed() => {}
+            _ = stop.changed() => {}
+        }
+    }
+}
+
+async fn serve(listener: TcpListener, app: Router, mut stop: watch::Receiver<bool>) {
+    let listener = listener.tap_io(|tcp| {
+        let _ = tcp.set_nodelay(true);
+    });
+    let app = app.into_make_service_with_connect_info::<SocketAddr>();
+    let stopped = async move {
+        let _ = stop.wait_for(|s| *s).await;
+    };
+    if let Err(e) = axum::serve(listener, app)
+        .with_graceful_shutdown(stopped)
+        .await
+    {
+        log::error!("listener failed: {e}");
+    }
+}
+
+async fn flush_metrics(shared: Arc<Shared>, mut stop: watch::Receiver<bool>) {
+    while !*stop.borrow() {
+        let load = shared.gate.load();
+        shared
+            .metrics
+            .set(ops::Metric::InFlight, load.in_flight.into());
+        shared.metrics.set(ops::Metric::Queued, load.queued.into());
+        shared.metrics.flush();
+        let _ = tokio::time::timeout(METRICS_FLUSH, stop.changed()).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/operator.rs
@@ -0,0 +1,127 @@
+//! Health and state for operators.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use axum::{Json, Router};
+use ops::Metric;
+use serde::{Deserialize, Serialize};
+use wire::Load;
+
+use crate::shared::Shared;
+use crate::target::Phase;
+
+/// What a node reports of itself and of the mesh.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StateReport {
+    /// Name of the instance.
+    pub name: String,
+    /// Service of its target.
+    pub service: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Whether the node serves requests.
+    pub ready: bool,
+    /// Whether the node is shutting down.
+    pub draining: bool,
+    /// Version in force.
+    pub version: u64,
+    /// Digest of the version in force.
+    pub digest: String,
+    /// Whether the target takes work: `up`, `draining` or `down`.
+    pub target: String,
+    /// Load of the target.
+    pub load: Load,
+    /// Members in scope.
+    pub members: Vec<MemberReport>,
+    /// Fingerprints of quarantined requests.
+    pub quarantined: Vec<String>,
+    /// Values of the metrics by name.
+    pub metrics: std::collections::BTreeMap<String, u64>,
+}
+
+/// A member as a node sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MemberReport {
+    /// Name of the instance.
+    pub name: String,
+    /// Service of its target.
+    pub service: String,
+    /// Failure domain.
+    pub domain: String,
+    /// State of the instance.
+    pub state: String,
+    /// Last version heard from it.
+    pub version: u64,
+    /// Whether this node has ejected it for being slow or failing.
+    pub ejected: bool,
+}
+
+/// Routes of the operators' listener.
+pub(crate) fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/livez", get(async || "ok\n"))
+        .route("/readyz", get(readyz))
+        .route("/state", get(state))
+        .with_state(shared)
+}
+
+async fn readyz(State(shared): State<Arc<Shared>>) -> (StatusCode, &'static str) {
+    match shared.check_serving() {
+        Ok(()) => (StatusCode::OK, "ready\n"),
+        Err(refusal) => (StatusCode::SERVICE_UNAVAILABLE, refusal.code.title()),
+    }
+}
+
+async fn state(State(shared): State<Arc<Shared>>) -> Json<StateReport> {
+    Json(report(&shared).await)
+}
+
+pub(crate) async fn report(shared: &Shared) -> StateReport {
+    let now = shared.clock.now();
+    let snapshot = shared.snapshot();
+    let ejected: BTreeSet<_> = shared
+        .services
+        .all()
+        .values()
+        .flat_map(|s| s.ejected())
+        .collect();
+    shared.metrics.set(Metric::Ejected, ejected.len() as u64);
+    let phase = match shared.target.phase(now) {
+        Phase::Up => "up",
+        Phase::Draining => "draining",
+        Phase::Down => "down",
+    };
+    let member = |r: &member::Record| MemberReport {
+        name: r.name.to_string(),
+        service: r.service.to_string(),
+        domain: r.domain.to_string(),
+        state: format!("{:?}", r.state).to_lowercase(),
+        version: r.version.0,
+        ejected: ejected.contains(&r.id),
+    };
+    StateReport {
+        name: shared.settings.name.clone(),
+        service: shared.settings.service.to_string(),
+        domain: shared.settings.domain.to_string(),
+        ready: shared.is_ready(),
+        draining: shared.is_draining(),
+        version: snapshot.version().0,
+        digest: snapshot.digest().to_string(),
+        target: phase.to_owned(),
+        load: shared.gate.load(),
+        members: shared.all_members().await.iter().map(member).collect(),
+        quarantined: shared
+            .quarantined()
+            .iter()
+            .map(|f| format!("{:016x}", f.0))
+            .collect(),
+        metrics: Metric::ALL
+            .iter()
+            .map(|m| (m.name().to_owned(), shared.metrics.get(*m)))
+            .collect(),
+    }
+}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -34,7 +34,11 @@
 
 async fn read(shared: &Arc<Shared>, req: Request) -> Result<Hop, Refusal> {
     let (parts, body) = req.into_parts();
-    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |p| p.as_str())
+        .to_owned();
     let raw = text(&parts.headers, HOP).ok_or(Code::BadHeader)?;
     let mac = text(&parts.headers, wire::HOP_MAC).ok_or(Code::BadHeader)?;
     if !verify_hop(&shared.settings.keys, &parts.method, &path, raw, mac) {
@@ -54,7 +58,16 @@
         .await
         .map_err(|_| Code::DeadlinePassed)?
         .map_err(|_| Code::BadHeader)?;
-    Ok(Hop { method: parts.method, path, headers, meta, deadline, body, key, parent })
+    Ok(Hop {
+        method: parts.method,
+        path,
+        headers,
+        meta,
+        deadline,
+        body,
+        key,
+        parent,
+    })
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- a/crates/node/src/problem.rs
+++ b/crates/node/src/problem.rs
@@ -34,7 +34,10 @@
     let mut res = Response::new(Body::from(body));
     *res.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = res.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/problem+json"),
+    );
     headers.insert(wire::CODE, HeaderValue::from(code.number()));
     headers.insert(wire::EXECUTED, HeaderValue::from_static(executed));
     if let Some(after) = refusal.retry_after {
@@ -68,6 +71,11 @@
 
 /// Reads the time after which a repeat is worth a try.
 pub(crate) fn retry_after_of(headers: &HeaderMap) -> Option<Duration> {
-    let secs = headers.get(header::RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    let secs = headers
+        .get(header::RETRY_AFTER)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()?;
     Some(Duration::from_secs(secs))
 }
--- /dev/null
+++ b/crates/node/src/rpc.rs
@@ -0,0 +1,284 @@
+//! Transfers between nodes over tarpc: joins, tables and configuration texts.
+//!
+//! Requests and replies are postcard, authenticated with the keys of the mesh. A connection serves
+//! one transfer; transfers are rare, so no node keeps connections to all others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use member::{JoinAnswer, Scope, Table};
+use ops::Metric;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::{client, context};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use wire::{Digest, InstanceId, KeyRing, Version};
+
+use crate::datagram::Active;
+use crate::shared::Shared;
+use crate::{control, gossip};
+
+/// Largest frame; a text has at most 1 MiB, a table of 19,000 records about 2.5 MiB.
+const MAX_FRAME_BYTES: usize = 4 << 20;
+/// Transfers served at once; more wait in the listener's queue, which bounds memory in a herd.
+const MAX_CONNECTIONS: usize = 64;
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes of TCP, tarpc and the authentication around a request or a reply.
+const FRAME_OVERHEAD_BYTES: u64 = 120;
+
+/// Why a transfer failed.
+#[derive(Debug, Snafu)]
+pub(crate) enum RpcError {
+    #[snafu(display("connect failed: {source}"))]
+    Connect { source: std::io::Error },
+    #[snafu(display("call failed: {source}"))]
+    Call { source: client::RpcError },
+    #[snafu(display("time is up"))]
+    Timeout,
+    #[snafu(display("message not authentic or malformed"))]
+    Malformed,
+}
+
+/// A message with its authentication.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Sealed {
+    mac: String,
+    body: Vec<u8>,
+}
+
+impl Sealed {
+    fn new<T: Serialize>(keys: &KeyRing, purpose: &str, msg: &T) -> Result<Sealed, RpcError> {
+        let body = postcard::to_stdvec(msg).map_err(|_| RpcError::Malformed)?;
+        Ok(Sealed {
+            mac: keys.sign(&[purpose.as_bytes(), &body]),
+            body,
+        })
+    }
+
+    fn open<T: DeserializeOwned>(&self, keys: &KeyRing, purpose: &str) -> Result<T, RpcError> {
+        if !keys.verify(&[purpose.as_bytes(), &self.body], &self.mac) {
+            return Err(RpcError::Malformed);
+        }
+        postcard::from_bytes(&self.body).map_err(|_| RpcError::Malformed)
+    }
+
+    fn bytes(&self) -> u64 {
+        self.body.len() as u64 + FRAME_OVERHEAD_BYTES
+    }
+}
+
+/// Asks to join the mesh.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct JoinRequest {
+    pub(crate) id: InstanceId,
+    pub(crate) scope: Scope,
+}
+
+/// Answers a [`JoinRequest`].
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct JoinReply {
+    pub(crate) from: InstanceId,
+    pub(crate) active: Active,
+    pub(crate) member: JoinAnswer,
+}
+
+/// Asks for a configuration newer than `version`.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct FetchRequest {
+    pub(crate) version: Version,
+    pub(crate) digest: Digest,
+}
+
+/// A configuration, or nothing if there is none newer.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct FetchReply {
+    pub(crate) version: Version,
+    pub(crate) digest: Digest,
+    pub(crate) payload: Payload,
+}
+
+/// How the text travels.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum Payload {
+    Nothing,
+    Delta(config::Delta),
+    Whole(String),
+}
+
+#[tarpc::service]
+trait Transfer {
+    /// Answers with `None` when the request isn't authentic.
+    async fn join(req: Sealed) -> Option<Sealed>;
+    async fn exchange(req: Sealed) -> Option<Sealed>;
+    async fn fetch(req: Sealed) -> Option<Sealed>;
+}
+
+#[derive(Clone)]
+struct Server {
+    shared: Arc<Shared>,
+}
+
+impl Server {
+    fn open<T: DeserializeOwned>(&self, req: &Sealed, purpose: &str) -> Option<T> {
+        self.shared.metrics.add(Metric::ControlBytesIn, req.bytes());
+        let opened = req.open(&self.shared.settings.keys, purpose);
+        if opened.is_err() {
+            self.shared.metrics.count(Metric::DroppedBadMac);
+        }
+        opened.ok()
+    }
+
+    fn reply<T: Serialize>(&self, msg: &T, purpose: &str) -> Option<Sealed> {
+        let sealed = Sealed::new(&self.shared.settings.keys, purpose, msg).ok()?;
+        self.shared
+            .metrics
+            .add(Metric::ControlBytesOut, sealed.bytes());
+        Some(sealed)
+    }
+}
+
+impl Transfer for Server {
+    async fn join(self, _: context::Context, req: Sealed) -> Option<Sealed> {
+        let JoinRequest { id, scope } = self.open(&req, "join")?;
+        let links = self.shared.links.get()?;
+        let member = links
+            .gossip
+            .ask(gossip::MakeJoinAnswer(id, scope))
+            .await
+            .ok()?;
+        let reply = JoinReply {
+            from: self.shared.id,
+            active: self.shared.active(),
+            member,
+        };
+        self.reply(&reply, "joined")
+    }
+
+    async fn exchange(self, _: context::Context, req: Sealed) -> Option<Sealed> {
+        let table: Table = self.open(&req, "exchange")?;
+        let links = self.shared.links.get()?;
+        let own = links.gossip.ask(gossip::Exchange(table)).await.ok()?;
+        self.reply(&own, "exchanged")
+    }
+
+    async fn fetch(self, _: context::Context, req: Sealed) -> Option<Sealed> {
+        let req: FetchRequest = self.open(&req, "fetch")?;
+        let links = self.shared.links.get()?;
+        let reply = links.control.ask(control::MakeFetchReply(req)).await.ok()?;
+        self.reply(&reply, "fetched")
+    }
+}
+
+/// Serves transfers until `stop`, then joins those in progress.
+pub(crate) async fn serve(
+    shared: Arc<Shared>,
+    listener: tokio::net::TcpListener,
+    mut stop: watch::Receiver<bool>,
+) {
+    let mut transfers = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            a = listener.accept(), if transfers.len() < MAX_CONNECTIONS => a,
+            Some(_) = transfers.join_next() => continue,
+            _ = stop.wait_for(|s| *s) => break,
+        };
+        let Ok((tcp, _)) = accepted else { continue };
+        let server = Server {
+            shared: shared.clone(),
+        };
+        transfers.spawn(tokio::time::timeout(CALL_TIMEOUT, serve_one(server, tcp)));
+    }
+    while transfers.join_next().await.is_some() {}
+}
+
+async fn serve_one(server: Server, tcp: tokio::net::TcpStream) {
+    let frames = tarpc::serde_transport::new(frames(tcp), Bincode::default());
+    let mut requests = Box::pin(BaseChannel::with_defaults(frames).execute(server.serve()));
+    while let Some(response) = requests.next().await {
+        response.await;
+    }
+}
+
+type Framed =
+    tokio_util::codec::Framed<tokio::net::TcpStream, tokio_util::codec::LengthDelimitedCodec>;
+
+fn frames(tcp: tokio::net::TcpStream) -> Framed {
+    let _ = tcp.set_nodelay(true);
+    tokio_util::codec::LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_framed(tcp)
+}
+
+/// Asks the node at `to` to let this one join.
+pub(crate) async fn join(
+    shared: &Shared,
+    to: SocketAddr,
+    scope: Scope,
+) -> Result<JoinReply, RpcError> {
+    let req = JoinRequest {
+        id: shared.id,
+        scope,
+    };
+    let call = async |c: TransferClient, req| c.join(context::current(), req).await;
+    exchange_sealed(shared, to, &req, ("join", "joined"), call).await
+}
+
+/// Exchanges tables with the node at `to`.
+pub(crate) async fn exchange(
+    shared: &Shared,
+    to: SocketAddr,
+    table: Table,
+) -> Result<Table, RpcError> {
+    let call = async |c: TransferClient, req| c.exchange(context::current(), req).await;
+    exchange_sealed(shared, to, &table, ("exchange", "exchanged"), call).await
+}
+
+/// Fetches a newer configuration from the node at `to`.
+pub(crate) async fn fetch(
+    shared: &Shared,
+    to: SocketAddr,
+    req: FetchRequest,
+) -> Result<FetchReply, RpcError> {
+    let call = async |c: TransferClient, req| c.fetch(context::current(), req).await;
+    exchange_sealed(shared, to, &req, ("fetch", "fetched"), call).await
+}
+
+async fn exchange_sealed<Q, R>(
+    shared: &Shared,
+    to: SocketAddr,
+    req: &Q,
+    (asked, answered): (&str, &str),
+    call: impl AsyncFnOnce(TransferClient, Sealed) -> Result<Option<Sealed>, client::RpcError>,
+) -> Result<R, RpcError>
+where
+    Q: Serialize,
+    R: DeserializeOwned,
+{
+    let keys = &shared.settings.keys;
+    let sealed = Sealed::new(keys, asked, req)?;
+    shared.metrics.add(Metric::ControlBytesOut, sealed.bytes());
+    let exchange = async {
+        let tcp = tokio::net::TcpStream::connect(to)
+            .await
+            .map_err(|source| RpcError::Connect { source })?;
+        let transport = tarpc::serde_transport::new(frames(tcp), Bincode::default());
+        let client::NewClient { client, dispatch } =
+            TransferClient::new(client::Config::default(), transport);
+        tokio::select! {
+            reply = call(client, sealed) => reply.map_err(|source| RpcError::Call { source }),
+            _ = dispatch => Err(RpcError::Malformed),
+        }
+    };
+    let reply = tokio::time::timeout(CALL_TIMEOUT, exchange)
+        .await
+        .map_err(|_| RpcError::Timeout)??
+        .ok_or(RpcError::Malformed)?;
+    shared.metrics.add(Metric::ControlBytesIn, reply.bytes());
+    reply.open(keys, answered)
+}
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -11,7 +11,7 @@
     Ask, Attempts, Denial, Failure, Hedge, HedgeCfg, Outcome, Pick, Picker, PickerCfg, RetryBudget,
     RouteKey, Ticket, View,
 };
-use wire::{Domain, InstanceId, ServiceName, Time};
+use wire::{Domain, InstanceId, Load, ServiceName, Time};
 
 /// Deciding state of one service. One lock: each call holds it for less than a microsecond.
 #[derive(Debug)]
@@ -37,14 +37,16 @@
 
 impl ServiceState {
     fn new(own: &Domain, node: InstanceId, seed: u64) -> ServiceState {
-        let cfg = PickerCfg::new(own.clone(), node);
+        let cfg = PickerCfg::new(node, own.clone());
         let inner = Inner {
             picker: Picker::new(cfg, seed),
             retries: RetryBudget::default(),
             hedge: Hedge::new(HedgeCfg::default()),
             addresses: BTreeMap::new(),
         };
-        ServiceState { inner: Mutex::new(inner) }
+        ServiceState {
+            inner: Mutex::new(inner),
+        }
     }
 
     pub(crate) fn request(&self, now: Time) {
@@ -54,11 +56,11 @@
     }
 
     /// Picks an instance and counts the attempt as begun.
-    pub(crate) fn begin(&self, now: Time, ask: &Ask<'_>) -> Option<Chosen> {
+    pub(crate) fn begin(&self, now: Time, ask: &Ask<'_>, route: RouteKey) -> Option<Chosen> {
         let mut inner = self.inner.lock();
         let pick = inner.picker.pick(now, ask)?;
         let addr = *inner.addresses.get(&pick.id)?;
-        let ticket = inner.picker.begin(now, &pick);
+        let ticket = inner.picker.begin(now, pick.id, route);
         Some(Chosen { pick, addr, ticket })
     }
 
@@ -71,9 +73,10 @@
         now: Time,
         attempts: &Attempts,
         failure: &Failure,
+        route: RouteKey,
     ) -> Result<(), Denial> {
         let mut inner = self.inner.lock();
-        let median = inner.picker.median();
+        let median = inner.picker.median(route);
         inner.retries.may_retry(now, attempts, failure, median)
     }
 
@@ -86,11 +89,11 @@
     }
 
     /// Takes a token for a hedge and picks its instance.
-    pub(crate) fn begin_hedge(&self, now: Time, ask: &Ask<'_>) -> Option<Chosen> {
+    pub(crate) fn begin_hedge(&self, now: Time, ask: &Ask<'_>, route: RouteKey) -> Option<Chosen> {
         if !self.inner.lock().hedge.try_spend(now) {
             return None;
         }
-        let chosen = self.begin(now, ask);
+        let chosen = self.begin(now, ask, route);
         if chosen.is_none() {
             self.inner.lock().hedge.refund();
         }
@@ -101,11 +104,21 @@
         self.inner.lock().hedge.observe(route, latency);
     }
 
-    pub(crate) fn ejected(&self, now: Time) -> Vec<InstanceId> {
-        self.inner.lock().picker.ejected(now)
+    pub(crate) fn ejected(&self) -> Vec<InstanceId> {
+        self.inner.lock().picker.ejected().collect()
+    }
+
+    /// Notes that the response has begun.
+    pub(crate) fn answered(&self, now: Time, ticket: Ticket, load: Option<Load>) {
+        self.inner.lock().picker.answered(now, ticket, load);
     }
 
-    fn set_instances(&self, now: Time, views: &[View], addresses: BTreeMap<InstanceId, SocketAddr>) {
+    fn set_instances(
+        &self,
+        now: Time,
+        views: &[View],
+        addresses: BTreeMap<InstanceId, SocketAddr>,
+    ) {
         let mut inner = self.inner.lock();
         inner.picker.set_instances(now, views);
         inner.addresses = addresses;
@@ -131,7 +144,12 @@
 
 impl Services {
     pub(crate) fn new(domain: Domain, node: InstanceId, seed: u64) -> Services {
-        Services { domain, node, seed, map: ArcSwap::default() }
+        Services {
+            domain,
+            node,
+            seed,
+            map: ArcSwap::default(),
+        }
     }
 
     pub(crate) fn get(&self, name: &ServiceName) -> Option<Arc<ServiceState>> {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -11,6 +11,7 @@
 const MAX_NAME_BYTES: usize = 64;
 const MIN_SECRET_BYTES: usize = 16;
 const DRAIN_TIMEOUT_S: (u64, u64) = (1, 3_600);
+const CHECKPOINT_S: (u64, u64) = (1, 86_400);
 const MAX_SEEDS: usize = 64;
 
 /// Why settings were refused.
@@ -72,6 +73,8 @@
 #[serde(deny_unknown_fields)]
 struct RawLog {
     url: String,
+    #[serde(default = "default_checkpoint_s")]
+    checkpoint_s: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -123,6 +126,10 @@
     1
 }
 
+fn default_checkpoint_s() -> u64 {
+    3_600
+}
+
 fn default_drain_timeout_s() -> u64 {
     30
 }
@@ -159,7 +166,7 @@
     pub domain: Domain,
     /// Address of the instance.
     pub address: IpAddr,
-    /// Gossip addresses of other nodes.
+    /// Addresses for transfers (`ports.rpc`) of other nodes.
     pub seeds: Vec<SocketAddr>,
     /// Seed of the random choices; combined with the instance's name.
     pub random_seed: u64,
@@ -167,6 +174,9 @@
     pub drain_timeout: Duration,
     /// URL of the platform's log.
     pub log_url: String,
+    /// Time between two checkpoints of the publication stream; at most a third of the time for
+    /// which the log keeps records.
+    pub checkpoint_period: Duration,
     /// Ports.
     pub ports: Ports,
     /// Keys of the mesh.
@@ -191,7 +201,9 @@
 
     fn try_from(text: &str) -> Result<Settings, SettingsError> {
         let raw: RawSettings = toml::from_str(text).map_err(|e| SettingsError::Unreadable {
-            line: e.span().map_or(1, |s| 1 + text[..s.start].matches('\n').count()),
+            line: e
+                .span()
+                .map_or(1, |s| 1 + text[..s.start].matches('\n').count()),
             reason: e.message().to_owned(),
         })?;
         raw.try_into()
@@ -213,13 +225,27 @@
         check_ports(&raw.ports)?;
         if !(DRAIN_TIMEOUT_S.0..=DRAIN_TIMEOUT_S.1).contains(&raw.drain_timeout_s) {
             let (least, most) = DRAIN_TIMEOUT_S;
-            return invalid("drain_timeout_s", format!("must be {least} to {most} seconds"));
+            return invalid(
+                "drain_timeout_s",
+                format!("must be {least} to {most} seconds"),
+            );
+        }
+        if !(CHECKPOINT_S.0..=CHECKPOINT_S.1).contains(&raw.log.checkpoint_s) {
+            let (least, most) = CHECKPOINT_S;
+            return invalid(
+                "log.checkpoint_s",
+                format!("must be {least} to {most} seconds"),
+            );
         }
         Ok(Settings {
             keys: key_ring(&raw.mesh, &raw.keys)?,
             trace: raw.trace.map(|t| trace(t, &raw.name)).transpose()?,
             statsd: raw.metrics.map(|m| Statsd { addr: m.statsd }),
-            log_format: if raw.logs.json { LogFormat::Json } else { LogFormat::Text },
+            log_format: if raw.logs.json {
+                LogFormat::Json
+            } else {
+                LogFormat::Text
+            },
             mesh: raw.mesh,
             name: raw.name,
             service: raw.service.as_str().into(),
@@ -230,6 +256,7 @@
             random_seed: raw.random_seed,
             drain_timeout: Duration::from_secs(raw.drain_timeout_s),
             log_url: raw.log.url,
+            checkpoint_period: Duration::from_secs(raw.log.checkpoint_s),
             ports: raw.ports.into(),
         })
     }
@@ -249,7 +276,10 @@
 }
 
 fn invalid<T>(key: &'static str, reason: impl Into<String>) -> Result<T, SettingsError> {
-    Err(SettingsError::Invalid { key, reason: reason.into() })
+    Err(SettingsError::Invalid {
+        key,
+        reason: reason.into(),
+    })
 }
 
 fn check_name(key: &'static str, value: &str) -> Result<(), SettingsError> {
@@ -264,7 +294,10 @@
 fn check_address(address: IpAddr) -> Result<(), SettingsError> {
     // Other nodes dial this address, so a wildcard would name no instance.
     if address.is_unspecified() || address.is_multicast() {
-        return invalid("address", "must be an address of this instance, not a wildcard");
+        return invalid(
+            "address",
+            "must be an address of this instance, not a wildcard",
+        );
     }
     Ok(())
 }
@@ -273,7 +306,10 @@
     if seeds.len() > MAX_SEEDS {
         return invalid("seeds", format!("must be at most {MAX_SEEDS}"));
     }
-    if seeds.iter().any(|s| s.ip().is_unspecified() || s.port() == 0) {
+    if seeds
+        .iter()
+        .any(|s| s.ip().is_unspecified() || s.port() == 0)
+    {
         return invalid("seeds", "must name an address and a port");
     }
     Ok(())
@@ -300,13 +336,20 @@
 fn key_ring(mesh: &str, raw: &RawKeys) -> Result<KeyRing, SettingsError> {
     let key = |k: &RawKey| {
         if k.secret.len() < MIN_SECRET_BYTES {
-            return invalid("keys", format!("a secret needs {MIN_SECRET_BYTES} bytes or more"));
+            return invalid(
+                "keys",
+                format!("a secret needs {MIN_SECRET_BYTES} bytes or more"),
+            );
         }
         Ok(MeshKey::new(k.number, &k.secret))
     };
     let send = key(&raw.send)?;
     let also = raw.also.as_ref().map(key).transpose()?;
-    if raw.also.as_ref().is_some_and(|k| k.number == raw.send.number) {
+    if raw
+        .also
+        .as_ref()
+        .is_some_and(|k| k.number == raw.send.number)
+    {
         return invalid("keys", "two keys have the same number");
     }
     Ok(KeyRing::new(mesh, send, also))
@@ -317,5 +360,9 @@
     if !(0.0..=1.0).contains(&raw.sample) {
         return invalid("trace.sample", "must be 0 to 1");
     }
-    Ok(TraceCfg { endpoint: raw.endpoint, sample: raw.sample, instance: instance.to_owned() })
+    Ok(TraceCfg {
+        endpoint: raw.endpoint,
+        sample: raw.sample,
+        instance: instance.to_owned(),
+    })
 }
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -60,8 +60,15 @@
     pub(crate) fn address(&self, now: Time) -> Result<SocketAddr, Code> {
         match *self.known.lock() {
             Some(k) if now - k.seen >= ANNOUNCE_LEASE => Err(Code::TargetDown),
-            Some(Known { phase: Phase::Up, addr, .. }) => Ok(addr),
-            Some(Known { phase: Phase::Draining, .. }) => Err(Code::Draining),
+            Some(Known {
+                phase: Phase::Up,
+                addr,
+                ..
+            }) => Ok(addr),
+            Some(Known {
+                phase: Phase::Draining,
+                ..
+            }) => Err(Code::Draining),
             _ => Err(Code::TargetDown),
         }
     }
@@ -114,7 +121,10 @@
     }
     let own = shared.settings.address;
     if body.addr.ip() != own && !body.addr.ip().is_loopback() {
-        return (StatusCode::CONFLICT, format!("{} is not on this instance", body.addr));
+        return (
+            StatusCode::CONFLICT,
+            format!("{} is not on this instance", body.addr),
+        );
     }
     let before = shared.target.phase(shared.clock.now());
     shared.target.announce(shared.clock.now(), body.addr);
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! Command line of briarlug.
 
 mod cmd;
+mod demo;
 mod util;
 
 use std::process::ExitCode;
