--- a/crates/bench/src/straggler_sim.rs
+++ b/crates/bench/src/straggler_sim.rs
@@ -344,6 +344,10 @@
             if is_out != was_out {
                 self.changed(now, entry, target, is_out);
             }
+            // A target that happened to be out already when the slowdown began counts as ejected.
+            if is_out && target == self.case.slowed && now >= SLOW_FROM {
+                self.watches[entry].ejected_at.get_or_insert(now);
+            }
         }
     }
 
@@ -357,7 +361,6 @@
             return;
         }
         if is_out {
-            watch.ejected_at.get_or_insert(now);
             watch.back_at = None;
         } else {
             watch.back_at = Some(now);
