--- a/crates/bench/src/straggler_policy.rs
+++ b/crates/bench/src/straggler_policy.rs
@@ -1,6 +1,7 @@
 //! How an entry node chooses: the picker, or a simple policy to compare with.
 
 use std::fmt;
+use std::time::Duration;
 
 use route::{
     Ask, Hedge, HedgeCfg, Outcome, Pick, Picker, PickerCfg, RouteKey, State, Ticket, View,
@@ -59,15 +60,21 @@
         }
     }
 
-    /// Returns the index of the chosen target.
-    pub(crate) fn pick(&mut self, now: Time, tried: Option<usize>, hedged: bool) -> Option<usize> {
+    /// Returns the index of the chosen target, and whether the request is a probe.
+    pub(crate) fn pick(
+        &mut self,
+        now: Time,
+        tried: Option<usize>,
+        hedged: bool,
+    ) -> Option<(usize, bool)> {
         let n = self.open.len();
         self.next += 1;
         match self.policy {
-            Policy::RoundRobin => Some(self.next % n),
+            Policy::RoundRobin => Some((self.next % n, false)),
             Policy::LeastConnections => (0..n)
                 .map(|i| (self.next + i) % n)
-                .min_by_key(|i| self.open[*i]),
+                .min_by_key(|i| self.open[*i])
+                .map(|i| (i, false)),
             Policy::Route => {
                 let exclude: Vec<InstanceId> =
                     tried.iter().map(|t| InstanceId(*t as u64)).collect();
@@ -76,12 +83,22 @@
                     hedge: tried.is_some(),
                     repeatable: hedged,
                 };
-                let Pick { id, .. } = self.picker.pick(now, &ask)?;
-                Some(id.0 as usize)
+                let Pick { id, probe } = self.picker.pick(now, &ask)?;
+                Some((id.0 as usize, probe))
             }
         }
     }
 
+    /// Returns how long to wait for the answer before a hedge.
+    pub(crate) fn hedge_delay(&self, target: usize, probe: bool) -> Option<Duration> {
+        let delay = self.hedge.delay(ROUTE)?;
+        if !probe {
+            return Some(delay);
+        }
+        let late = self.picker.late_after(InstanceId(target as u64), ROUTE)?;
+        Some(delay.max(late))
+    }
+
     pub(crate) fn begin(&mut self, now: Time, target: usize) -> Ticket {
         self.open[target] += 1;
         self.picker.begin(now, InstanceId(target as u64), ROUTE)
--- a/crates/bench/src/straggler_sim.rs
+++ b/crates/bench/src/straggler_sim.rs
@@ -215,10 +215,10 @@
         let hedging = self.case.hedging;
         let node = &mut self.entries[entry];
         node.hedge.request(now);
-        let delay = node.hedge.delay(ROUTE);
-        let Some(target) = node.pick(now, None, hedging) else {
+        let Some((target, probe)) = node.pick(now, None, hedging) else {
             return;
         };
+        let delay = node.hedge_delay(target, probe);
         self.send(now, request, target);
         if let Some(delay) = delay.filter(|_| hedging) {
             self.events.push(now + delay, Event::HedgeDue { request });
@@ -247,7 +247,7 @@
         if r.answered || !node.hedge.try_spend(now) {
             return;
         }
-        let Some(target) = node.pick(now, Some(tried), true) else {
+        let Some((target, _)) = node.pick(now, Some(tried), true) else {
             node.hedge.refund();
             return;
         };
--- a/crates/route/src/outlier.rs
+++ b/crates/route/src/outlier.rs
@@ -50,6 +50,9 @@
     }
 }
 
+/// Age of an overtaken request that counts as late, as a share of the limit. Losing to a hedge
+/// alone says little: hedges are sent after the service's p95, which is usual for a slow instance.
+pub(crate) const OVERTAKEN_SHARE: f64 = 0.5;
 /// Growth of the wait between failed probes.
 const PROBE_GROWTH: f64 = 1.5;
 /// Bound of the suspicion as a multiple of the threshold, so that it can fall again.
@@ -66,6 +69,8 @@
     Prompt,
     Late,
     Error,
+    /// Slow, but not slow enough to tell a probe's result.
+    Unclear,
 }
 
 /// An ejection.
@@ -109,6 +114,10 @@
             self.next_probe = now;
             return self.passed >= cfg.passes;
         }
+        if evidence == Evidence::Unclear {
+            self.next_probe = now + self.wait;
+            return false;
+        }
         self.passed = 0;
         self.wait = self.wait.mul_f64(PROBE_GROWTH).min(cfg.probe_after_max);
         self.next_probe = now + self.wait;
@@ -122,6 +131,7 @@
         Evidence::Prompt => -cfg.prompt_credit,
         Evidence::Late => 1.0,
         Evidence::Error => cfg.error_weight,
+        Evidence::Unclear => 0.0,
     };
     (suspicion + change).clamp(0.0, cfg.threshold * SUSPICION_CAP)
 }
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -9,7 +9,7 @@
 use wire::{Code, Domain, InstanceId, Load, Time};
 
 use crate::judge::Judge;
-use crate::outlier::{Ejection, Evidence, weigh};
+use crate::outlier::{Ejection, Evidence, OVERTAKEN_SHARE, weigh};
 use crate::peer::{Peer, Ramp};
 use crate::spill::Spill;
 use crate::subset::subset;
@@ -95,6 +95,16 @@
     answered: bool,
 }
 
+impl Call {
+    /// Returns whether losing to a hedge at `now` counts as late.
+    fn overtaken_late(&self, now: Time) -> bool {
+        self.due.is_some_and(|due| {
+            let limit = due.since(self.begun);
+            now.since(self.begun) >= limit.mul_f64(OVERTAKEN_SHARE)
+        })
+    }
+}
+
 /// Chooses instances of one service for one node.
 #[derive(Debug)]
 pub struct Picker {
@@ -284,7 +294,10 @@
     fn judge_end(&mut self, now: Time, ticket: Ticket, kind: Kind) {
         match kind {
             Kind::Ok | Kind::Cancelled => {}
-            Kind::Overtaken => self.decide(now, ticket, Evidence::Late),
+            Kind::Overtaken => {
+                let evidence = self.overtaken(now, ticket);
+                self.decide(now, ticket, evidence);
+            }
             Kind::ConnectFailed | Kind::Lost => self.decide(now, ticket, Evidence::Error),
             // A short deadline isn't the instance's fault. Without a known latency, it may be.
             Kind::TimedOut => {
@@ -296,6 +309,22 @@
         }
     }
 
+    fn overtaken(&self, now: Time, ticket: Ticket) -> Evidence {
+        let late = self
+            .calls
+            .get(ticket)
+            .is_some_and(|c| c.overtaken_late(now));
+        let probe = self
+            .calls
+            .get(ticket)
+            .is_some_and(|c| self.peers.get(c.peer).is_some_and(|p| p.ejection.is_some()));
+        if late && !probe {
+            Evidence::Late
+        } else {
+            Evidence::Unclear
+        }
+    }
+
     fn refused(&mut self, now: Time, ticket: Ticket, code: Code) {
         let key = self.calls.get(ticket).map(|c| c.peer).unwrap_or_default();
         let Some(peer) = self.peers.get_mut(key) else {
@@ -517,6 +546,15 @@
         self.judge.median(route)
     }
 
+    /// Returns the age at which a request on an instance becomes late, once it is known.
+    ///
+    /// A probe must not be hedged earlier: overtaken by a hedge, it would show nothing, and a slow
+    /// but healthy instance would stay ejected.
+    pub fn late_after(&self, id: InstanceId, route: RouteKey) -> Option<Duration> {
+        let peer = self.peers.get(*self.by_id.get(&id)?)?;
+        self.judge.limit(&self.cfg.outlier, route, peer.speed)
+    }
+
     /// Forgets the statistics of routes for which `keep` is false.
     pub fn retain_routes(&mut self, keep: impl FnMut(RouteKey) -> bool) {
         self.judge.retain(keep);
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -72,7 +72,8 @@
     TimedOut,
     /// The caller gave up; says nothing about the instance.
     Cancelled,
-    /// A hedge that began later answered first and this attempt was cancelled.
+    /// A hedge that began later answered first and this attempt was cancelled. It counts against
+    /// the instance if the attempt was older than half of the age that makes it late.
     Overtaken,
 }
 
