Weigh evidence by how often an instance is late when healthy

Cause: fixed weights suspected an instance that is slow by nature (large seed 3 had four false ejections) and needed four late requests in a row even where late requests are very rare, so nodes with little traffic were slow to react. Changed: a sequential probability ratio test with learned rates per instance; a request in flight counts again at twice and four times its limit.

--- a/crates/route/src/outlier.rs
+++ b/crates/route/src/outlier.rs
@@ -1,8 +1,13 @@
 //! Outlier detection: when an instance is ejected, probed and readmitted.
 //!
-//! Each request is judged once: late when its age passes a limit, even while it is in flight, or
-//! prompt when it is answered before. Counting per request, and not per unit of time, keeps one
-//! long request from weighing more than many short ones.
+//! Each request is judged: late when its age passes a limit, even while it is in flight, or prompt
+//! when it is answered before. Counting per request, and not per unit of time, keeps one long
+//! request from weighing more than many short ones.
+//!
+//! The evidence is summed by a sequential probability ratio test (CUSUM): each result adds the
+//! logarithm of its likelihood on a slowed instance over the likelihood on this instance when it
+//! is healthy. The latter is learned, so an instance that often runs long requests isn't suspected
+//! for them.
 
 use std::time::Duration;
 
@@ -17,12 +22,8 @@
     pub late_factor_max: f64,
     /// Smallest limit; below it, scheduling noise would decide.
     pub late_min: Duration,
-    /// Suspicion at which an instance is ejected, in late requests.
+    /// Sum of log likelihood ratios at which an instance is ejected.
     pub threshold: f64,
-    /// Suspicion that a prompt answer removes: below a quarter of late requests none remains.
-    pub prompt_credit: f64,
-    /// Suspicion that a failure adds: three in succession eject.
-    pub error_weight: f64,
     /// Wait before the first probe.
     pub probe_after: Duration,
     /// Longest wait between probes; bounds the time to return after a recovery.
@@ -39,9 +40,8 @@
             late_factor: 4.0,
             late_factor_max: 6.0,
             late_min: Duration::from_millis(1),
-            threshold: 4.0,
-            prompt_credit: 1.0 / 3.0,
-            error_weight: 4.0 / 3.0,
+            // One false alarm in about 100,000 requests, as far as they are independent.
+            threshold: 11.5,
             probe_after: Duration::from_millis(250),
             probe_after_max: Duration::from_millis(800),
             passes: 2,
@@ -55,6 +55,17 @@
 pub(crate) const OVERTAKEN_SHARE: f64 = 0.5;
 /// Growth of the wait between failed probes.
 const PROBE_GROWTH: f64 = 1.5;
+/// Share of the requests to a slowed instance that are late, and of those that grow older.
+const SLOWED_LATE: f64 = 0.8;
+/// Errors in succession that eject.
+const ERRORS: f64 = 3.0;
+/// Weight of one request in the learned rates; they follow within a few hundred requests.
+const LEARN_SHARE: f64 = 1.0 / 200.0;
+/// Bounds of the learned share of late requests. The lower one needs three late ones to eject.
+const LATE_RANGE: (f64, f64) = (0.02, 0.7);
+/// Bounds of the learned share of late requests that become older. With the lower one, a single
+/// request can't eject, however old it is: ln(0.8 / 0.02) + 2 ln(0.8 / 0.05) is under 11.5.
+const OLDER_RANGE: (f64, f64) = (0.05, 0.7);
 /// Bound of the suspicion as a multiple of the threshold, so that it can fall again.
 const SUSPICION_CAP: f64 = 1.5;
 
@@ -68,6 +79,8 @@
 pub(crate) enum Evidence {
     Prompt,
     Late,
+    /// Twice, then four times as old as a late request.
+    Older,
     Error,
     /// Slow, but not slow enough to tell a probe's result.
     Unclear,
@@ -125,13 +138,59 @@
     }
 }
 
-/// Returns the suspicion after another piece of evidence.
-pub(crate) fn weigh(cfg: &OutlierCfg, suspicion: f64, evidence: Evidence) -> f64 {
-    let change = match evidence {
-        Evidence::Prompt => -cfg.prompt_credit,
-        Evidence::Late => 1.0,
-        Evidence::Error => cfg.error_weight,
-        Evidence::Unclear => 0.0,
-    };
-    (suspicion + change).clamp(0.0, cfg.threshold * SUSPICION_CAP)
+/// How often requests of an instance are late while it is healthy.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Usual {
+    late: f64,
+    /// Of the late requests, those that become twice as old.
+    older: f64,
+}
+
+impl Default for Usual {
+    fn default() -> Self {
+        Usual {
+            late: 0.05,
+            older: 0.2,
+        }
+    }
+}
+
+impl Usual {
+    /// Returns the change of the suspicion, and learns unless the instance is `ejected`.
+    pub(crate) fn weigh(&mut self, cfg: &OutlierCfg, evidence: Evidence, ejected: bool) -> f64 {
+        let change = match evidence {
+            Evidence::Prompt => ((1.0 - SLOWED_LATE) / (1.0 - self.late)).ln(),
+            Evidence::Late => (SLOWED_LATE / self.late).ln(),
+            Evidence::Older => (SLOWED_LATE / self.older).ln(),
+            Evidence::Error => cfg.threshold / ERRORS,
+            Evidence::Unclear => 0.0,
+        };
+        if !ejected {
+            self.learn(evidence);
+        }
+        change
+    }
+
+    fn learn(&mut self, evidence: Evidence) {
+        let toward = |rate: &mut f64, to: f64, (low, high): (f64, f64)| {
+            *rate = (*rate + (to - *rate) * LEARN_SHARE).clamp(low, high);
+        };
+        match evidence {
+            Evidence::Prompt => toward(&mut self.late, 0.0, LATE_RANGE),
+            Evidence::Late => toward(&mut self.late, 1.0, LATE_RANGE),
+            Evidence::Older => toward(&mut self.older, 1.0, OLDER_RANGE),
+            Evidence::Error | Evidence::Unclear => {}
+        }
+    }
+
+    /// Notes that a late request ended before it became older.
+    pub(crate) fn late_ended(&mut self) {
+        let (low, _) = OLDER_RANGE;
+        self.older = (self.older * (1.0 - LEARN_SHARE)).max(low);
+    }
+}
+
+/// Returns the suspicion after a change.
+pub(crate) fn bounded(cfg: &OutlierCfg, suspicion: f64) -> f64 {
+    suspicion.clamp(0.0, cfg.threshold * SUSPICION_CAP)
 }
--- a/crates/route/src/peer.rs
+++ b/crates/route/src/peer.rs
@@ -5,7 +5,7 @@
 use wire::{InstanceId, Load, Time};
 
 use crate::judge::Speed;
-use crate::outlier::Ejection;
+use crate::outlier::{Ejection, Usual};
 use crate::{State, View};
 
 /// Age beyond which a reported load says nothing.
@@ -45,6 +45,7 @@
     pub(crate) in_flight: u32,
     pub(crate) speed: Speed,
     pub(crate) suspicion: f64,
+    pub(crate) usual: Usual,
     pub(crate) ejection: Option<Ejection>,
     pub(crate) ramp: Option<Ramp>,
     /// Refused for lack of room; other instances are preferred until then.
@@ -64,6 +65,7 @@
             in_flight: 0,
             speed: Speed::default(),
             suspicion: 0.0,
+            usual: Usual::default(),
             ejection: None,
             ramp,
             busy_until: Time::ZERO,
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -9,7 +9,7 @@
 use wire::{Code, Domain, InstanceId, Load, Time};
 
 use crate::judge::Judge;
-use crate::outlier::{Ejection, Evidence, OVERTAKEN_SHARE, weigh};
+use crate::outlier::{Ejection, Evidence, OVERTAKEN_SHARE, bounded};
 use crate::peer::{Peer, Ramp};
 use crate::spill::Spill;
 use crate::subset::subset;
@@ -19,6 +19,8 @@
 const REFRESH: Duration = Duration::from_millis(5);
 /// How long a refusal for lack of room keeps requests away.
 const BUSY: Duration = Duration::from_millis(50);
+/// Times that one request can be found late.
+const MAX_LATENESS: u32 = 3;
 /// How long a refusal for draining keeps requests away; membership reports it within this time.
 const DRAINING: Duration = Duration::from_secs(3);
 
@@ -89,8 +91,12 @@
     peer: PeerKey,
     route: RouteKey,
     begun: Time,
-    /// When it becomes late; `None` once it is judged or if no latency is known yet.
+    /// Age at which it is late, if a latency is known.
+    limit: Option<Duration>,
+    /// When it becomes late, or older; `None` once that doesn't matter any more.
     due: Option<Time>,
+    /// How often it was found late: at the limit, at twice and at four times the limit.
+    lateness: u32,
     judged: bool,
     answered: bool,
 }
@@ -98,10 +104,8 @@
 impl Call {
     /// Returns whether losing to a hedge at `now` counts as late.
     fn overtaken_late(&self, now: Time) -> bool {
-        self.due.is_some_and(|due| {
-            let limit = due.since(self.begun);
-            now.since(self.begun) >= limit.mul_f64(OVERTAKEN_SHARE)
-        })
+        self.limit
+            .is_some_and(|limit| now.since(self.begun) >= limit.mul_f64(OVERTAKEN_SHARE))
     }
 }
 
@@ -222,17 +226,19 @@
     /// Counts an attempt that is sent to `id` now. Each ticket must be given to `end` once.
     pub fn begin(&mut self, now: Time, id: InstanceId, route: RouteKey) -> Ticket {
         let key = self.by_id.get(&id).copied().unwrap_or_default();
-        let mut due = None;
+        let mut limit = None;
         if let Some(peer) = self.peers.get_mut(key) {
             peer.in_flight += 1;
-            let limit = self.judge.limit(&self.cfg.outlier, route, peer.speed);
-            due = limit.map(|limit| now + limit);
+            limit = self.judge.limit(&self.cfg.outlier, route, peer.speed);
         }
+        let due = limit.map(|limit| now + limit);
         let ticket = self.calls.insert(Call {
             peer: key,
             route,
             begun: now,
+            limit,
             due,
+            lateness: 0,
             judged: false,
             answered: false,
         });
@@ -301,7 +307,7 @@
             Kind::ConnectFailed | Kind::Lost => self.decide(now, ticket, Evidence::Error),
             // A short deadline isn't the instance's fault. Without a known latency, it may be.
             Kind::TimedOut => {
-                if self.calls.get(ticket).is_some_and(|c| c.due.is_none()) {
+                if self.calls.get(ticket).is_some_and(|c| c.limit.is_none()) {
                     self.decide(now, ticket, Evidence::Error);
                 }
             }
@@ -352,8 +358,38 @@
             self.due.remove(&(at, ticket));
         }
         if std::mem::replace(&mut call.judged, true) {
+            if (1..MAX_LATENESS).contains(&call.lateness)
+                && let Some(peer) = self.peers.get_mut(call.peer)
+            {
+                peer.usual.late_ended();
+            }
+            return;
+        }
+        let (key, begun) = (call.peer, call.begun);
+        self.weigh(now, key, begun, evidence);
+    }
+
+    /// Judges an attempt that is late, and sets the age at which it is judged again.
+    fn overdue(&mut self, now: Time, ticket: Ticket) {
+        let Some(call) = self.calls.get_mut(ticket) else {
             return;
+        };
+        let first = !std::mem::replace(&mut call.judged, true);
+        call.lateness += 1;
+        call.due = match call.limit {
+            Some(limit) if call.lateness < MAX_LATENESS => {
+                Some(call.begun + limit * 2_u32.pow(call.lateness))
+            }
+            _ => None,
+        };
+        if let Some(at) = call.due {
+            self.due.insert((at, ticket));
         }
+        let evidence = if first {
+            Evidence::Late
+        } else {
+            Evidence::Older
+        };
         let (key, begun) = (call.peer, call.begun);
         self.weigh(now, key, begun, evidence);
     }
@@ -363,15 +399,16 @@
         let Some(peer) = self.peers.get_mut(key) else {
             return;
         };
+        let change = peer.usual.weigh(cfg, evidence, peer.ejection.is_some());
         let Some(ejection) = &mut peer.ejection else {
-            peer.suspicion = weigh(cfg, peer.suspicion, evidence);
+            peer.suspicion = bounded(cfg, peer.suspicion + change);
             if peer.suspicion >= cfg.threshold {
                 self.try_eject(now, key);
             }
             return;
         };
         // Requests from before the ejection were its reason and say nothing about a recovery.
-        if begun < ejection.since {
+        if begun < ejection.since || evidence == Evidence::Older {
             return;
         }
         if ejection.probed(cfg, now, evidence) {
@@ -412,7 +449,8 @@
             if at >= now {
                 break;
             }
-            self.decide(now, ticket, Evidence::Late);
+            self.due.remove(&(at, ticket));
+            self.overdue(now, ticket);
         }
         if now >= self.refresh_at {
             self.rebuild(now);
