--- a/crates/route/src/outlier.rs
+++ b/crates/route/src/outlier.rs
@@ -40,8 +40,8 @@
             late_factor: 4.0,
             late_factor_max: 6.0,
             late_min: Duration::from_millis(1),
-            // One false alarm in about 100,000 requests, as far as they are independent.
-            threshold: 11.5,
+            // One false alarm in about 20,000 requests, as far as they are independent.
+            threshold: 10.0,
             probe_after: Duration::from_millis(250),
             probe_after_max: Duration::from_millis(800),
             passes: 2,
@@ -64,7 +64,7 @@
 /// Bounds of the learned share of late requests. The lower one needs three late ones to eject.
 const LATE_RANGE: (f64, f64) = (0.02, 0.7);
 /// Bounds of the learned share of late requests that become older. With the lower one, a single
-/// request can't eject, however old it is: ln(0.8 / 0.02) + 2 ln(0.8 / 0.05) is under 11.5.
+/// request can't eject, however old it is: ln(0.8 / 0.02) + 2 ln(0.8 / 0.05) is under 10.
 const OLDER_RANGE: (f64, f64) = (0.05, 0.7);
 /// Bound of the suspicion as a multiple of the threshold, so that it can fall again.
 const SUSPICION_CAP: f64 = 1.5;
