Probe an ejected instance less often

Cause: without hedges each failed probe is a slow answer for a caller, and the probes were a large part of the slowest percent. Measured, waits of 250 to 800 ms growing by 1.5 before, 500 to 1,000 ms growing by 2 after.

--- a/crates/route/src/outlier.rs
+++ b/crates/route/src/outlier.rs
@@ -42,8 +42,8 @@
             late_min: Duration::from_millis(1),
             // One false alarm in about 20,000 requests, as far as they are independent.
             threshold: 10.0,
-            probe_after: Duration::from_millis(250),
-            probe_after_max: Duration::from_millis(800),
+            probe_after: Duration::from_millis(500),
+            probe_after_max: Duration::from_millis(1_000),
             passes: 2,
             probe_patience: Duration::from_millis(300),
         }
@@ -54,7 +54,7 @@
 /// alone says little: hedges are sent after the service's p95, which is usual for a slow instance.
 pub(crate) const OVERTAKEN_SHARE: f64 = 0.5;
 /// Growth of the wait between failed probes.
-const PROBE_GROWTH: f64 = 1.5;
+const PROBE_GROWTH: f64 = 2.0;
 /// Share of the requests to a slowed instance that are late, and of those that grow older.
 const SLOWED_LATE: f64 = 0.8;
 /// Errors in succession that eject.
