Assume that a tenth of late requests become twice as old

Cause: the rate is learned from late requests only, which are rare, so its initial value of a fifth stayed in force and a second look at a stuck request added little.

--- a/crates/route/src/outlier.rs
+++ b/crates/route/src/outlier.rs
@@ -150,7 +150,7 @@
     fn default() -> Self {
         Usual {
             late: 0.05,
-            older: 0.2,
+            older: 0.1,
         }
     }
 }
