--- a/crates/route/src/spill.rs
+++ b/crates/route/src/spill.rs
@@ -5,9 +5,9 @@
 use wire::Time;
 
 /// Use of the own domain's slots at which requests spill over.
-const ENTER: f64 = 0.7;
+const ENTER: f64 = 0.5;
 /// Use at which they stay in the domain again. The gap keeps traffic from alternating.
-const LEAVE: f64 = 0.4;
+const LEAVE: f64 = 0.3;
 /// Shortest time between two changes.
 const DWELL: Duration = Duration::from_millis(500);
 
