--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -28,7 +28,12 @@
 #[derive(Clone, Copy, Debug)]
 enum State {
     Queued,
-    Running { since: Time, beside: u32 },
+    Running {
+        since: Time,
+        beside: u32,
+    },
+    /// The refusal wasn't polled yet. The entry stays so that no new key takes its place.
+    Refused,
 }
 
 #[derive(Debug)]
@@ -177,20 +182,29 @@
     /// until [`Admission::finish`], because the target may go on with it.
     pub fn cancel(&mut self, now: Time, key: Key) {
         self.advance(now);
-        match self.requests.get_mut(key) {
-            Some(r) if matches!(r.state, State::Running { .. }) => r.cancelled = true,
-            Some(_) => {
-                self.dequeue(key);
-                // A decision that wasn't polled yet is void.
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        match request.state {
+            State::Running { .. } => {
+                request.cancelled = true;
+                return;
             }
-            None => self.events.retain(|e| !is_refusal_of(e, key)),
+            State::Queued => self.dequeue(key),
+            State::Refused => self.events.retain(|e| !is_refusal_of(e, key)),
         }
+        self.requests.remove(key);
     }
 
     /// Returns the decisions on queued requests since the last call.
     pub fn poll(&mut self, now: Time) -> Vec<Event> {
         self.advance(now);
         self.dispatch();
+        for event in &self.events {
+            if let Event::Refuse(key, _) = event {
+                self.requests.remove(*key);
+            }
+        }
         std::mem::take(&mut self.events)
     }
 
@@ -242,7 +256,7 @@
 
     /// Returns whether nothing runs or waits.
     pub fn is_idle(&self) -> bool {
-        self.requests.is_empty() && self.events.is_empty()
+        self.requests.is_empty()
     }
 
     fn running(&self) -> u32 {
@@ -301,14 +315,15 @@
         key
     }
 
-    /// Removes a queued request from all indexes.
+    /// Removes a queued request from all indexes but the map of requests.
     fn dequeue(&mut self, key: Key) {
-        let Some(r) = self.requests.remove(key) else {
+        let Some(r) = self.requests.get_mut(key) else {
             return;
         };
-        self.queue(r.long).remove(r.bucket, r.seq);
+        self.probes -= u32::from(std::mem::take(&mut r.probe));
         self.expiries.remove(&(r.start_by, key));
-        self.probes -= u32::from(r.probe);
+        let (long, bucket, seq) = (r.long, r.bucket, r.seq);
+        self.queue(long).remove(bucket, seq);
     }
 
     /// Decides whether a request may wait; may refuse an older one of the same caller for it.
@@ -375,6 +390,9 @@
 
     fn refuse(&mut self, key: Key, refusal: Refusal) {
         self.dequeue(key);
+        if let Some(r) = self.requests.get_mut(key) {
+            r.state = State::Refused;
+        }
         self.events.push(Event::Refuse(key, refusal));
     }
 
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,12 @@
 mod crest;
 mod figure;
 mod head_of_line;
+mod queue_chain;
+mod queue_load;
+mod queue_model;
+mod queue_pick;
+mod queue_sizes;
+mod queue_target;
 mod schedule;
 mod straggler;
 
