Don't count aged requests when choosing a target in the bench

With all requests in flight counted, up to 32 queued archive pulls hid the few short requests from the choice between two targets, so slow targets got as much short work as fast ones. Now requests older than 32 ms don't count.

A real choice of target needs an equivalent: short work must not be compared by counts that contain queued long work.

--- a/crates/bench/src/crest.rs
+++ b/crates/bench/src/crest.rs
@@ -11,7 +11,8 @@
 use crate::queue_load::Rate;
 use crate::queue_model::{Case, Outcome, Policy, run as run_case};
 use crate::queue_sizes::{
-    CALLERS, LOOKUP, SITES, Site, capacity, latency, lookups, p99_ms, policies, targets,
+    CALLERS, LOOKUP, SITES, Site, capacity, each_service, latency, lookups, p99_ms, policies,
+    targets,
 };
 use crate::queue_target::TargetCfg;
 
@@ -48,10 +49,8 @@
     let mut figures = Vec::new();
     for (suffix, policy) in policies(baseline) {
         for site in &SITES {
-            let seen = site
-                .services
-                .iter()
-                .map(|n| measure(site, *n, policy, seed))
+            let seen = each_service(site, |n| measure(site, n, policy, seed))
+                .into_iter()
                 .reduce(worst)
                 .expect("a site has services");
             let name = format!("crest{suffix}.{}", site.name);
--- a/crates/bench/src/head_of_line.rs
+++ b/crates/bench/src/head_of_line.rs
@@ -12,7 +12,8 @@
 use crate::queue_load::{Kind, Rate, Spread};
 use crate::queue_model::{Case, End, Outcome, Policy, run as run_case};
 use crate::queue_sizes::{
-    CALLERS, LOOKUP, SITES, Site, capacity, latency, lookups, p99_ms, policies, targets,
+    CALLERS, LOOKUP, SITES, Site, capacity, each_service, latency, lookups, p99_ms, policies,
+    targets,
 };
 
 /// Share of the capacity that short work takes.
@@ -70,10 +71,8 @@
     for (suffix, policy) in policies(baseline) {
         for site in &SITES {
             for (name, variant) in VARIANTS {
-                let seen = site
-                    .services
-                    .iter()
-                    .map(|n| measure(site, *n, variant, policy, seed))
+                let seen = each_service(site, |n| measure(site, n, variant, policy, seed))
+                    .into_iter()
                     .reduce(worst)
                     .expect("a site has services");
                 let name = format!("head_of_line{suffix}.{}.{name}", site.name);
--- a/crates/bench/src/queue_model.rs
+++ b/crates/bench/src/queue_model.rs
@@ -23,6 +23,10 @@
 const CONNECT: Duration = Duration::from_millis(1);
 /// Nodes through which requests enter.
 const ENTRIES: usize = 4;
+/// An entry doesn't count its requests in flight beyond this age, eight times the mean of a lookup
+/// on a middling target. Requests that wait or run this long are long work, which says nothing
+/// about the wait of short work.
+const COUNTED_AGE: Duration = Duration::from_millis(32);
 /// Instances that a request is sent to at most.
 const MAX_ATTEMPTS: u32 = 3;
 /// Retries per first attempt.
@@ -125,6 +129,8 @@
     Wake(usize, usize),
     /// The caller of a plain entry gives up an attempt.
     Timeout(usize),
+    /// An attempt has been in flight for [`COUNTED_AGE`].
+    Aged(usize),
     /// A target was restarted and is cold.
     Restart(usize, usize),
 }
@@ -136,6 +142,8 @@
     entry: usize,
     target: usize,
     key: Option<Key>,
+    /// Whether the entry counts it for its choices.
+    counted: bool,
 }
 
 #[derive(Debug)]
@@ -152,7 +160,10 @@
 /// A node that sends requests to the targets of one hop.
 #[derive(Clone, Debug)]
 struct Entry {
+    /// Requests that hold a connection.
     in_flight: Vec<u32>,
+    /// Those of them that count for the choice of a target.
+    counted: Vec<u32>,
     connections: Vec<u32>,
     turn: usize,
     retries: f64,
@@ -240,6 +251,7 @@
                 self.poll(now, hop, target);
             }
             Step::Timeout(request) => self.timeout(now, request),
+            Step::Aged(attempt) => self.uncount(attempt),
             Step::Restart(hop, target) => self.restart(now, hop, target),
         }
     }
@@ -293,8 +305,9 @@
             Pick::TwoChoices
         };
         let e = &mut self.entries[hop][entry];
-        let target = pick(how, &e.in_flight, avoid, &mut e.turn, &mut self.rng);
+        let target = pick(how, &e.counted, avoid, &mut e.turn, &mut self.rng);
         e.in_flight[target] += 1;
+        e.counted[target] += 1;
         let mut delay = HOP;
         if e.in_flight[target] > e.connections[target] {
             e.connections[target] += 1;
@@ -306,8 +319,10 @@
             entry,
             target,
             key: None,
+            counted: true,
         });
         let id = self.attempts.len() - 1;
+        self.schedule.push(now + COUNTED_AGE, Step::Aged(id));
         self.schedule.push(now + delay, Step::Reach(id));
         if self.plain {
             let timeout = self.sources[self.requests[request].kind].kind.deadline;
@@ -411,7 +426,15 @@
         }
     }
 
+    fn uncount(&mut self, id: usize) {
+        let a = &mut self.attempts[id];
+        if std::mem::take(&mut a.counted) {
+            self.entries[a.hop][a.entry].counted[a.target] -= 1;
+        }
+    }
+
     fn answer(&mut self, now: Time, id: usize, end: End) {
+        self.uncount(id);
         let Attempt {
             hop,
             entry,
@@ -462,6 +485,7 @@
     fn new(targets: usize) -> Entry {
         Entry {
             in_flight: vec![0; targets],
+            counted: vec![0; targets],
             connections: vec![0; targets],
             turn: 0,
             retries: 0.0,
--- a/crates/bench/src/queue_sizes.rs
+++ b/crates/bench/src/queue_sizes.rs
@@ -112,3 +112,18 @@
         vec![admit]
     }
 }
+
+/// Measures each service of a site on a thread of its own.
+pub(crate) fn each_service<T: Send>(site: &Site, measure: impl Fn(usize) -> T + Sync) -> Vec<T> {
+    std::thread::scope(|scope| {
+        let measure = &measure;
+        let start = |n: &usize| {
+            let n = *n;
+            scope.spawn(move || measure(n))
+        };
+        let threads: Vec<_> = site.services.iter().map(start).collect();
+        let join =
+            |t: std::thread::ScopedJoinHandle<'_, T>| t.join().expect("a measurement panics");
+        threads.into_iter().map(join).collect()
+    })
+}
