Average the unloaded service time over 256 runs

The sojourn target was ruled out as the first cause: the refusals grew over the run, with the measured limit. The unloaded service time was averaged over about 16 runs, so its noise alone looked like queueing in the target and lowered the limit.

--- a/crates/admit/src/classes.rs
+++ b/crates/admit/src/classes.rs
@@ -14,6 +14,9 @@
 const SHORT_FACTOR: f64 = 4.0;
 /// Weight of a new service time in an average.
 const ALPHA: f64 = 1.0 / 16.0;
+/// Service times over which the unloaded one is averaged. With fewer, the noise of the average alone
+/// made the measured limit fall at healthy targets.
+const UNLOADED_SAMPLES: u32 = 256;
 /// Entries per generation of a table; two generations are kept.
 const GENERATION: usize = 512;
 /// Runs of unknown work that may turn out long at once, on average.
@@ -125,7 +128,8 @@
 struct Route {
     estimate: Estimate,
     /// Average while few other requests ran.
-    unloaded_us: Option<f64>,
+    unloaded_us: f64,
+    unloaded_samples: u32,
     /// Whether single runs were of both classes.
     short_seen: bool,
     long_seen: bool,
@@ -215,8 +219,8 @@
         }
     }
 
-    /// Learns from a complete run. Returns its service time over the unloaded one of its route,
-    /// for routes with one class.
+    /// Learns from a complete run. For short work it returns the service time over the unloaded one
+    /// of the route, as soon as that is known well.
     pub(crate) fn finished(&mut self, offer: &Offer, run: &Run) -> Option<f64> {
         let us = run.service.as_micros() as f64;
         if offer.class != Class::Long {
@@ -239,10 +243,10 @@
             return None;
         }
         if run.low {
-            let unloaded = route.unloaded_us.get_or_insert(us);
-            *unloaded += (us - *unloaded) * ALPHA;
+            route.unloaded_samples = (route.unloaded_samples + 1).min(UNLOADED_SAMPLES);
+            route.unloaded_us += (us - route.unloaded_us) / f64::from(route.unloaded_samples);
         }
-        route.unloaded_us.map(|u| us / u.max(1.0))
+        (route.unloaded_samples == UNLOADED_SAMPLES).then(|| us / route.unloaded_us.max(1.0))
     }
 
     fn average(&mut self, us: f64, long: bool) {
@@ -282,7 +286,8 @@
     fn new(us: f64) -> Route {
         Route {
             estimate: Estimate::first(us),
-            unloaded_us: None,
+            unloaded_us: 0.0,
+            unloaded_samples: 0,
             short_seen: false,
             long_seen: false,
             surprises: FIRST_SURPRISE_SHARE,
