Wire the node together and run the demo

Cause: the thin whole path was missing: caller, two nodes, target, under a configuration read from the log. The actors, listeners and readers now run round the state machines, and the demo drives both example sites. Ruled out: a claim stream followed at all times by each node (reads grow with the number of nodes); it is read to its end once and then followed for 30 s after a request. The first version followed it only while an own record was on its way; each claim was then refused with 401, because a shard takes no claim before it has seen the end of its stream.

--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -7,6 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use http_body_util::BodyExt;
+use parking_lot::Mutex;
 
 /// A body up to this size is kept until the response begins, so that it can be sent again.
 pub(crate) const REPLAY_BYTES: usize = 64 * 1024;
@@ -29,8 +30,9 @@
 pub(crate) struct Inbound {
     /// First part.
     pub(crate) prefix: Bytes,
-    /// What follows; absent when the prefix is the whole body.
-    pub(crate) rest: Option<Body>,
+    /// What follows; absent when the prefix is the whole body. A body isn't `Sync`, the futures
+    /// that borrow a request have to be `Send`.
+    pub(crate) rest: Option<Mutex<Body>>,
 }
 
 impl Inbound {
@@ -50,7 +52,7 @@
         }
         Ok(Inbound {
             prefix: prefix.freeze(),
-            rest: Some(body),
+            rest: Some(Mutex::new(body)),
         })
     }
 
@@ -64,7 +66,7 @@
         if whole {
             return Some(self.prefix.clone().into());
         }
-        let rest = self.rest.take()?;
+        let rest = self.rest.take()?.into_inner();
         let head = futures_util::stream::iter([Ok(self.prefix.clone())]);
         let tail = rest.into_data_stream();
         Some(reqwest::Body::wrap_stream(futures_util::StreamExt::chain(
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -167,6 +167,19 @@
         });
     }
 
+    /// Lets the key's stream be followed: the request may have to wait for another node's outcome.
+    fn follow(&self, key: &str) {
+        let Ok(key) = Key::try_from(key) else { return };
+        let until = self.shared.clock.now() + FOLLOW;
+        if let Some(tx) = self.follow.get(key.shard(SHARDS)) {
+            tx.send_if_modified(|f| {
+                let idle = f.until <= self.shared.clock.now();
+                f.until = until;
+                idle
+            });
+        }
+    }
+
     /// Tells the readers which streams to read.
     fn update_follow(&self, now: Time) {
         for (tx, shard) in self.follow.iter().zip(self.claims.shards()) {
@@ -207,6 +220,7 @@
             reply,
         } = ask;
         self.pending.insert(req, reply);
+        self.follow(&key);
         let event = ClaimEvent::Ask {
             req,
             key,
@@ -303,26 +317,38 @@
 ) {
     let stream = stream_name(&shared, shard);
     let mut rng = StdRng::seed_from_u64(shared.settings.random_seed ^ shared.id.0 ^ shard as u64);
+    let mut wanted = shared.claims_wanted.subscribe();
+    let mut primed = false;
+    let mut at_end = false;
     while !*stop.borrow() {
         let now = shared.clock.now();
         let Follow { from, until } = *follow.borrow_and_update();
-        if until <= now {
+        // No claim is taken before the end of the stream was seen once.
+        let prime = !primed && *wanted.borrow_and_update();
+        if until <= now && !prime {
+            at_end = false;
             tokio::select! {
                 _ = follow.changed() => {}
+                _ = wanted.changed(), if !primed => {}
                 _ = stop.changed() => {}
             }
             continue;
         }
+        // Only a read that can bring nothing new but later records waits for them.
+        let wait = if at_end { LONG_POLL } else { Duration::ZERO };
         let read = tokio::select! {
-            read = shared.log.read(&stream, from, LONG_POLL) => read,
+            read = shared.log.read(&stream, from, wait) => read,
             _ = stop.changed() => continue,
         };
         match events_of(from, read) {
             Some(events) => {
+                at_end = matches!(events.last(), Some(Event::End { .. }));
+                primed |= at_end;
                 // Waits until the events are applied, so that the next position is known.
                 let _ = keeper.ask(Stream { shard, events }).await;
             }
             None => {
+                at_end = false;
                 shared.metrics.count(Metric::LogFailures);
                 let ms = rng.random_range(RETRY_MS);
                 tokio::time::sleep(Duration::from_millis(ms)).await;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -332,10 +332,14 @@
 /// Asks for state and counters.
 pub(crate) struct GetStatus;
 
+/// State and counters of the spread.
+#[derive(kameo::Reply)]
+pub(crate) struct SpreadStatus(pub(crate) Status);
+
 impl Message<GetStatus> for Control {
-    type Reply = Status;
+    type Reply = SpreadStatus;
 
-    async fn handle(&mut self, _: GetStatus, _: &mut Context<Self, Status>) -> Status {
-        self.spread.status()
+    async fn handle(&mut self, _: GetStatus, _: &mut Context<Self, SpreadStatus>) -> SpreadStatus {
+        SpreadStatus(self.spread.status())
     }
 }
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -16,7 +16,7 @@
 
 use crate::control::{Heard, PeersChanged};
 use crate::datagram::Datagram;
-use crate::rpc;
+use crate::rpc::{self, JoinReply};
 use crate::services::Instance;
 use crate::shared::Shared;
 
@@ -186,7 +186,7 @@
 /// Takes over the table of another member.
 pub(crate) struct Merge(pub(crate) Table);
 /// Asks for the answer to an instance that joins.
-pub(crate) struct MakeJoinAnswer(pub(crate) InstanceId, pub(crate) Scope);
+pub(crate) struct MakeJoinReply(pub(crate) InstanceId, pub(crate) Scope);
 /// Takes over a table and asks for the own one.
 pub(crate) struct Exchange(pub(crate) Table);
 
@@ -218,26 +218,39 @@
     }
 }
 
-impl Message<MakeJoinAnswer> for Gossip {
-    type Reply = JoinAnswer;
+impl Message<MakeJoinReply> for Gossip {
+    type Reply = JoinReply;
 
     async fn handle(
         &mut self,
-        MakeJoinAnswer(id, scope): MakeJoinAnswer,
-        _: &mut Context<Self, JoinAnswer>,
-    ) -> JoinAnswer {
-        self.member.join_answer(id, &scope)
+        MakeJoinReply(id, scope): MakeJoinReply,
+        _: &mut Context<Self, JoinReply>,
+    ) -> JoinReply {
+        let member = self.member.join_answer(id, &scope);
+        JoinReply {
+            from: self.shared.id,
+            active: self.shared.active(),
+            member,
+        }
     }
 }
 
+/// The own table.
+#[derive(kameo::Reply)]
+pub(crate) struct OwnTable(pub(crate) Table);
+
 impl Message<Exchange> for Gossip {
-    type Reply = Table;
+    type Reply = OwnTable;
 
-    async fn handle(&mut self, Exchange(theirs): Exchange, _: &mut Context<Self, Table>) -> Table {
+    async fn handle(
+        &mut self,
+        Exchange(theirs): Exchange,
+        _: &mut Context<Self, OwnTable>,
+    ) -> OwnTable {
         let ours = self.member.tables(self.member.scope());
         let actions = self.member.merge(self.shared.clock.now(), theirs);
         self.perform(actions).await;
-        ours
+        OwnTable(ours)
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -125,7 +125,7 @@
             None => Tracer::off(),
         };
         let bound = Bound::new(&settings).await?;
-        let at = (settings.address, 0).into();
+        let at = SocketAddr::new(settings.address, 0);
         let addresses = bound.addresses().context(BindSnafu {
             what: "addresses",
             addr: at,
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -9,8 +9,10 @@
 use axum::{Json, Router};
 use ops::Metric;
 use serde::{Deserialize, Serialize};
+use spread::{LogState, Status};
 use wire::Load;
 
+use crate::control::GetStatus;
 use crate::shared::Shared;
 use crate::target::Phase;
 
@@ -31,6 +33,14 @@
     pub version: u64,
     /// Digest of the version in force.
     pub digest: String,
+    /// Version below which the node must not serve.
+    pub floor: u64,
+    /// Newest version heard of; above `version` while the node catches up.
+    pub newest_heard: u64,
+    /// What the node knows of the log: `unknown`, `reading`, `at end`, `down` or `behind`.
+    pub log: String,
+    /// Whether the node is one of its failure domain's log readers.
+    pub log_reader: bool,
     /// Whether the target takes work: `up`, `draining` or `down`.
     pub target: String,
     /// Load of the target.
@@ -103,6 +113,14 @@
         version: r.version.0,
         ejected: ejected.contains(&r.id),
     };
+    let spread = spread_status(shared).await;
+    let log = match spread.log {
+        LogState::Unknown => "unknown",
+        LogState::Reading => "reading",
+        LogState::AtEnd => "at end",
+        LogState::Down => "down",
+        LogState::Behind(_) => "behind",
+    };
     StateReport {
         name: shared.settings.name.clone(),
         service: shared.settings.service.to_string(),
@@ -111,6 +129,10 @@
         draining: shared.is_draining(),
         version: snapshot.version().0,
         digest: snapshot.digest().to_string(),
+        floor: spread.floor.0,
+        newest_heard: spread.newest_heard.0,
+        log: log.to_owned(),
+        log_reader: spread.reader,
         target: phase.to_owned(),
         load: shared.gate.load(),
         members: shared.all_members().await.iter().map(member).collect(),
@@ -125,3 +147,15 @@
             .collect(),
     }
 }
+
+async fn spread_status(shared: &Shared) -> Status {
+    match shared.links.get() {
+        Some(links) => links
+            .control
+            .ask(GetStatus)
+            .await
+            .map(|s| s.0)
+            .unwrap_or_default(),
+        None => Status::default(),
+    }
+}
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -40,7 +40,9 @@
                     return Ok(());
                 }
             }
-            Err(LogError::Expired { oldest, .. }) => fold.expired_before(oldest),
+            Err(LogError::Expired { oldest, .. }) => {
+                fold.expired_before(oldest);
+            }
             Err(e) => return Err(e),
         }
     }
@@ -122,7 +124,10 @@
             .await;
         match read {
             Ok(batch) => self.take(batch).await,
-            Err(LogError::Expired { oldest, .. }) => self.fold.expired_before(oldest),
+            Err(LogError::Expired { oldest, .. }) => {
+                let applied = self.fold.expired_before(oldest);
+                self.report(applied, oldest).await;
+            }
             Err(_) => {
                 self.at_end = false;
                 self.shared.metrics.count(Metric::LogFailures);
@@ -136,30 +141,36 @@
 
     async fn take(&mut self, batch: Batch) {
         let end = batch.end;
-        let was_empty = batch.records.is_empty();
-        for applied in apply(&mut self.fold, batch) {
-            match applied {
-                Applied::Rejected { id, code } => {
-                    self.shared.metrics.count(Metric::PublicationsRejected);
-                    log::info!("publication rejected id={id} code={}", code.number());
-                }
-                Applied::Behind { format } => {
-                    log::warn!("record format {format} is unknown to this build");
-                    self.tell(Event::LogBehind { format }).await;
-                    return;
-                }
-                _ => {}
-            }
+        let applied = apply(&mut self.fold, batch);
+        let quiet = applied.is_empty() && self.at_end;
+        if !(quiet && self.is_at(end)) {
+            self.report(applied, end).await;
+        }
+        if self.fold.needs_checkpoint() {
+            // Another reader's checkpoint is on its way, or peers have the text.
+            let ms = self.rng.random_range(RETRY_MS);
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+        }
+    }
+
+    fn is_at(&self, end: Offset) -> bool {
+        self.fold.next() >= end && !self.fold.needs_checkpoint()
+    }
+
+    /// Passes the state of the fold on, with `end` as the known end of the stream.
+    async fn report(&mut self, applied: Vec<Applied>, end: Offset) {
+        for a in applied {
+            self.count(&a);
+        }
+        if let Some(format) = self.fold.behind() {
+            log::warn!("record format {format} is unknown to this build");
+            return self.tell(Event::LogBehind { format }).await;
         }
         if self.fold.checkpoint_as_of() != self.last_checkpoint {
             self.last_checkpoint = self.fold.checkpoint_as_of();
             self.reset_checkpoint();
         }
-        let reached = self.fold.next() >= end && !self.fold.needs_checkpoint();
-        if was_empty && self.at_end && reached {
-            return;
-        }
-        self.at_end = reached;
+        self.at_end = self.is_at(end);
         let s = self.fold.snapshot();
         let snapshot = ConfigText {
             version: s.version(),
@@ -168,13 +179,15 @@
         };
         self.tell(Event::LogTail {
             snapshot,
-            at_end: reached,
+            at_end: self.at_end,
         })
         .await;
-        if self.fold.needs_checkpoint() {
-            // Another reader's checkpoint is on its way, or peers have the text.
-            let ms = self.rng.random_range(RETRY_MS);
-            tokio::time::sleep(Duration::from_millis(ms)).await;
+    }
+
+    fn count(&self, applied: &Applied) {
+        if let Applied::Rejected { id, code } = applied {
+            self.shared.metrics.count(Metric::PublicationsRejected);
+            log::info!("publication rejected id={id} code={}", code.number());
         }
     }
 
--- a/crates/node/src/rpc.rs
+++ b/crates/node/src/rpc.rs
@@ -47,7 +47,7 @@
 
 /// A message with its authentication.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Sealed {
+pub(crate) struct Sealed {
     mac: String,
     body: Vec<u8>,
 }
@@ -81,7 +81,7 @@
 }
 
 /// Answers a [`JoinRequest`].
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, kameo::Reply, Serialize, Deserialize)]
 pub(crate) struct JoinReply {
     pub(crate) from: InstanceId,
     pub(crate) active: Active,
@@ -96,7 +96,7 @@
 }
 
 /// A configuration, or nothing if there is none newer.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, kameo::Reply, Serialize, Deserialize)]
 pub(crate) struct FetchReply {
     pub(crate) version: Version,
     pub(crate) digest: Digest,
@@ -147,16 +147,11 @@
     async fn join(self, _: context::Context, req: Sealed) -> Option<Sealed> {
         let JoinRequest { id, scope } = self.open(&req, "join")?;
         let links = self.shared.links.get()?;
-        let member = links
+        let reply = links
             .gossip
-            .ask(gossip::MakeJoinAnswer(id, scope))
+            .ask(gossip::MakeJoinReply(id, scope))
             .await
             .ok()?;
-        let reply = JoinReply {
-            from: self.shared.id,
-            active: self.shared.active(),
-            member,
-        };
         self.reply(&reply, "joined")
     }
 
@@ -164,7 +159,7 @@
         let table: Table = self.open(&req, "exchange")?;
         let links = self.shared.links.get()?;
         let own = links.gossip.ask(gossip::Exchange(table)).await.ok()?;
-        self.reply(&own, "exchanged")
+        self.reply(&own.0, "exchanged")
     }
 
     async fn fetch(self, _: context::Context, req: Sealed) -> Option<Sealed> {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,7 +8,7 @@
 
 use admit::Limits;
 use arc_swap::ArcSwap;
-use config::Snapshot;
+use config::{Repeat, Snapshot};
 use kameo::actor::ActorRef;
 use member::{Record, Scope};
 use ops::{Metric, Metrics, Tracer};
@@ -16,7 +16,7 @@
 use plat::Log;
 use route::{Quarantine, QuarantineCfg, Strike};
 use snafu::ResultExt;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio_util::task::TaskTracker;
 use wire::{Code, Fingerprint, Incarnation, InstanceId, Refusal};
 
@@ -84,6 +84,8 @@
     pub(crate) requests: Arc<AtomicUsize>,
     /// Tasks that outlive the call that started them; joined at shutdown.
     pub(crate) tasks: TaskTracker,
+    /// Whether a route to the target's service takes requests that must not be repeated.
+    pub(crate) claims_wanted: watch::Sender<bool>,
     /// Live members in scope, as last reported by membership.
     pub(crate) members: ArcSwap<BTreeMap<InstanceId, Record>>,
     snapshot: ArcSwap<Snapshot>,
@@ -118,6 +120,7 @@
             links: OnceLock::new(),
             requests: Arc::default(),
             tasks: TaskTracker::new(),
+            claims_wanted: watch::Sender::new(false),
             members: ArcSwap::default(),
             snapshot: ArcSwap::new(snapshot),
             ready: AtomicBool::new(false),
@@ -164,6 +167,10 @@
                 queue: s.queue,
                 cold_start: COLD_START,
             }));
+        let own_service = &self.settings.service;
+        let once = |r: &config::Route| r.service == *own_service && r.repeat == Repeat::Never;
+        self.claims_wanted
+            .send_replace(next.routes().iter().any(once));
         self.metrics.set(Metric::Version, next.version().0);
         self.metrics.count(Metric::VersionsApplied);
         log::info!(
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -146,6 +146,16 @@
         self.expiry.insert((expires_at(entry, window), fp), ());
     }
 
+    /// Returns the quarantined fingerprints in ascending order.
+    pub fn quarantined(&self, now: Time) -> Vec<Fingerprint> {
+        let held = |e: &Entry| e.until.is_some_and(|until| now < until);
+        self.entries
+            .iter()
+            .filter(|(_, e)| held(e))
+            .map(|(fp, _)| *fp)
+            .collect()
+    }
+
     /// Returns the number of fingerprints in the table.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -94,6 +94,19 @@
     }
 }
 
+const REGISTRY_KINDS: [Kind; 4] = [
+    read("/casks", 60),
+    once("/titles", 15),
+    upload("/gauges", 15),
+    pull("/gauges/archive", 10),
+];
+
+const LEDGER_KINDS: [Kind; 3] = [
+    read("/extracts", 60),
+    once("/samples", 25),
+    upload("/evidence", 15),
+];
+
 /// Returns the sites.
 pub(crate) fn all() -> [Site; 2] {
     [
@@ -118,12 +131,7 @@
                     targets: 5,
                 },
             ],
-            kinds: &[
-                read("/casks", 60),
-                once("/titles", 15),
-                upload("/gauges", 15),
-                pull("/gauges/archive", 10),
-            ],
+            kinds: &REGISTRY_KINDS,
         },
         Site {
             name: "kilimanjaro",
@@ -146,11 +154,7 @@
                     targets: 3,
                 },
             ],
-            kinds: &[
-                read("/extracts", 60),
-                once("/samples", 25),
-                upload("/evidence", 15),
-            ],
+            kinds: &LEDGER_KINDS,
         },
     ]
 }
