Add the membership state machine

Cause: nodes need to know which instances are alive, in which state and at which configuration version, without a registry. Ruled out: an update per version change (traffic would grow with the number of members times the publications; versions travel in message headers instead). A separate table for tombstones, floors and updates outside the scope (one bounded table serves all three). Identifiers in records (they are hashes of the names and are derived on receipt). Changed: probes, suspicion, refutation, pushes of urgent updates, scoped tables, loss of whole failure domains, comparison of tables, joining.

--- /dev/null
+++ b/crates/member/src/join.rs
@@ -0,0 +1,172 @@
+//! Joining, transfer of tables, and the comparison of tables (anti-entropy).
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use wire::{Domain, InstanceId, ServiceName, Time};
+
+use crate::detect::ProbeKind;
+use crate::event::{Action, Change, JoinAnswer, Scope, Table};
+use crate::machine::{Member, Peer};
+use crate::message::{Sync, Update};
+use crate::record::{Record, State};
+use crate::table::CONTACTS_PER_DOMAIN;
+
+impl Member {
+    /// Returns the live members of `service`, the own record included, and the tombstones.
+    pub fn table(&self, service: &ServiceName) -> Table {
+        self.table_where(|r| r.service == *service)
+    }
+
+    /// Returns the live members of all services in `scope`, and the tombstones.
+    pub fn tables(&self, scope: &Scope) -> Table {
+        self.table_where(|r| scope.contains(&r.service))
+    }
+
+    /// Takes a table that was transferred from another member. Its news is not passed on: members
+    /// that lack it find out by their own comparison.
+    pub fn merge(&mut self, now: Time, table: Table) -> Vec<Action> {
+        self.advance(now);
+        self.merge_table(table);
+        self.finish()
+    }
+
+    /// Answers a request to join. `scope` is the asker's scope with its own service.
+    pub fn join_answer(&self, asker: InstanceId, scope: &Scope) -> JoinAnswer {
+        JoinAnswer {
+            floor: self.floor(asker),
+            incarnation: self.standing(asker).map(|(inc, _)| inc),
+            contacts: self.contacts_outside(scope),
+            table: self.tables(scope),
+            domains: self.domains.epochs(),
+            version: self.own.version,
+            digest_prefix: self.own.digest_prefix,
+        }
+    }
+
+    fn table_where(&self, wanted: impl Fn(&Record) -> bool) -> Table {
+        let live = self.table.records().chain([&self.own]);
+        let live = live.filter(|r| r.state != State::Left && wanted(r));
+        Table {
+            records: live.cloned().collect(),
+            dead: self.history.tombstones(),
+        }
+    }
+
+    fn contacts_outside(&self, scope: &Scope) -> Vec<Record> {
+        let mut per_domain: BTreeMap<&Domain, usize> = BTreeMap::new();
+        let mut services = BTreeSet::new();
+        let mut contacts = Vec::new();
+        let known = self.table.records().chain([&self.own]);
+        for r in known.filter(|r| !scope.contains(&r.service)) {
+            let in_domain = per_domain.entry(&r.domain).or_default();
+            let first_of_service = services.insert(&r.service);
+            if *in_domain < CONTACTS_PER_DOMAIN || first_of_service {
+                *in_domain += 1;
+                contacts.push(r.clone());
+            }
+        }
+        contacts
+    }
+
+    pub(crate) fn joined(&mut self, answer: JoinAnswer) {
+        if let Some(inc) = answer.incarnation {
+            self.heard_of_self(inc, !self.announced);
+        }
+        self.history.note_version(self.own.id, answer.floor);
+        for (domain, epoch) in answer.domains {
+            self.apply(Update::Domain { domain, epoch }, true);
+        }
+        for r in answer.contacts {
+            self.apply(Update::Alive(r), false);
+        }
+        self.merge_table(answer.table);
+        // Instances that start at the same time are missing in each other's answers, so the first
+        // comparison comes early.
+        self.next_sync = self.now + self.cfg.sync_recheck + self.jitter(self.cfg.sync_recheck);
+    }
+
+    fn merge_table(&mut self, table: Table) {
+        for t in table.dead {
+            let (id, incarnation, version) = (t.id, t.incarnation, t.version);
+            self.apply(
+                Update::Down {
+                    id,
+                    incarnation,
+                    version,
+                },
+                false,
+            );
+        }
+        for r in table.records {
+            self.apply(Update::Alive(r), false);
+        }
+    }
+
+    pub(crate) fn exchange(&mut self, with: InstanceId) {
+        self.counters.exchanges += 1;
+        self.out.push(Action::Exchange { with });
+    }
+
+    /// Compares the table with that of a random member in scope.
+    pub(crate) fn sync_round(&mut self) {
+        self.next_sync = self.now + self.cfg.sync_period;
+        if let Some(peer) = self.sync_peer() {
+            self.start_probe(peer, ProbeKind::Hint, true);
+        }
+    }
+
+    fn sync_peer(&mut self) -> Option<Peer> {
+        let again = self.differs.and_then(|id| self.table.get(id));
+        if let Some(e) = again.filter(|e| e.suspicion.is_none()) {
+            return Some(Peer::of(e));
+        }
+        let domain = self.sync_domain.take();
+        let scoped: BTreeSet<InstanceId> = self.table.scoped().map(|r| r.id).collect();
+        let wanted = |r: &Record| domain.as_ref().is_none_or(|d| r.domain == *d);
+        let peers = self.pick_reachable(1, |e| scoped.contains(&e.record.id) && wanted(&e.record));
+        peers.first().copied()
+    }
+
+    /// Plans an early comparison with a failure domain that came back, at a random time so that
+    /// its members are not asked by everyone at once.
+    pub(crate) fn sync_after_return(&mut self, domain: &Domain) {
+        self.sync_domain = Some(domain.clone());
+        self.next_sync = self.now + self.jitter(self.cfg.sync_recheck);
+    }
+
+    pub(crate) fn compare(&mut self, with: InstanceId, theirs: Sync) {
+        let Some(service) = self.table.get(with).map(|e| e.record.service.clone()) else {
+            return;
+        };
+        let ours = self.table.sync(&self.own, &service);
+        let equal = if ours.scope == theirs.scope {
+            ours.whole == theirs.whole
+        } else {
+            ours.service == theirs.service
+        };
+        let before = self.differs.take();
+        if equal {
+            return;
+        }
+        self.counters.sync_differences += 1;
+        if before == Some(with) {
+            self.exchange(with);
+        } else {
+            self.differs = Some(with);
+            self.next_sync = self.now + self.cfg.sync_recheck;
+        }
+    }
+
+    /// Drops tombstones and unreachable failure domains that are too old.
+    pub(crate) fn forget(&mut self) {
+        self.history.expire(self.now, self.cfg.tombstone_ttl);
+        for domain in self.domains.expired(self.now, self.cfg.domain_retention) {
+            let ids: Vec<_> = self.table.in_domain(&domain).map(|e| e.record.id).collect();
+            for id in ids {
+                if self.table.remove(id) == Some(true) {
+                    self.report(Change::Down(id));
+                }
+            }
+        }
+    }
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,1 +1,34 @@
 //! Membership: SWIM-style failure detection and scoped dissemination.
+//!
+//! [`Member`] is a state machine without I/O. The node passes in datagrams and the time, and sends
+//! what comes out. Records are kept in full for services in scope only; updates on all instances
+//! are passed on.
+
+mod config;
+mod detect;
+mod domains;
+mod event;
+mod gossip;
+mod history;
+mod join;
+mod machine;
+mod message;
+mod queue;
+mod record;
+mod ring;
+mod rumours;
+mod table;
+mod update;
+
+pub use config::Config;
+pub use event::{
+    Action, Change, Counters, Event, JoinAnswer, LocalState, MAX_TABLE_RECORDS, RawJoinAnswer,
+    RawTable, Scope, Table, Tombstone,
+};
+pub use machine::{Member, Sizes};
+pub use message::{
+    Body, MAX_MSG_BYTES, MAX_UPDATES, Msg, NODE_BYTES, RawMsg, Rumour, SEAL_HEADER_BYTES, Sync,
+    Update,
+};
+pub use record::{MAX_NAME_BYTES, MAX_SLOTS, RawRecord, Record, State, WireError};
+pub use table::CONTACTS_PER_DOMAIN;
--- /dev/null
+++ b/crates/member/src/table.rs
@@ -0,0 +1,247 @@
+//! The records that a member keeps.
+//!
+//! Members of services in scope are kept in full. Of all others a few contacts are kept: up to
+//! three per failure domain, and one per service so that the table of a service that enters the
+//! scope can be fetched from one of its members. Which ones are kept depends on a hash with the
+//! own identifier, so members keep different contacts and the mesh stays connected.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use wire::{Domain, Incarnation, InstanceId, ServiceName, Time};
+
+use crate::event::Scope;
+use crate::history::{Rank, Standing};
+use crate::message::Sync;
+use crate::record::Record;
+
+/// Contacts kept per failure domain.
+pub const CONTACTS_PER_DOMAIN: usize = 3;
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Suspicion {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) since: Time,
+    pub(crate) deadline: Time,
+}
+
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) record: Record,
+    pub(crate) suspicion: Option<Suspicion>,
+    in_scope: bool,
+}
+
+/// What [`Table::insert`] did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Inserted {
+    Added,
+    Replaced,
+    Contact,
+    Full,
+}
+
+#[derive(Debug)]
+pub(crate) struct Table {
+    own: InstanceId,
+    own_service: ServiceName,
+    scope: Scope,
+    entries: BTreeMap<InstanceId, Entry>,
+    names: BTreeSet<Arc<str>>,
+    max: usize,
+}
+
+impl Table {
+    pub(crate) fn new(own: &Record, max: usize) -> Table {
+        Table {
+            own: own.id,
+            own_service: own.service.clone(),
+            scope: Scope::All,
+            entries: BTreeMap::new(),
+            names: BTreeSet::new(),
+            max,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(crate) fn get(&self, id: InstanceId) -> Option<&Entry> {
+        self.entries.get(&id)
+    }
+
+    pub(crate) fn get_mut(&mut self, id: InstanceId) -> Option<&mut Entry> {
+        self.entries.get_mut(&id)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Entry> {
+        self.entries.values_mut()
+    }
+
+    pub(crate) fn in_domain<'a>(&'a self, domain: &'a Domain) -> impl Iterator<Item = &'a Entry> {
+        self.iter().filter(move |e| e.record.domain == *domain)
+    }
+
+    pub(crate) fn records(&self) -> impl Iterator<Item = &Record> {
+        self.iter().map(|e| &e.record)
+    }
+
+    /// Returns the records of services in scope.
+    pub(crate) fn scoped(&self) -> impl Iterator<Item = &Record> {
+        self.iter().filter(|e| e.in_scope).map(|e| &e.record)
+    }
+
+    pub(crate) fn scope(&self) -> &Scope {
+        &self.scope
+    }
+
+    pub(crate) fn is_in_scope(&self, service: &ServiceName) -> bool {
+        *service == self.own_service || self.scope.contains(service)
+    }
+
+    pub(crate) fn standing(&self, id: InstanceId) -> Option<Standing> {
+        let e = self.entries.get(&id)?;
+        Some(match e.suspicion {
+            Some(s) => (s.incarnation, Rank::Suspect),
+            None => (e.record.incarnation, Rank::Alive),
+        })
+    }
+
+    pub(crate) fn insert(&mut self, mut record: Record) -> Inserted {
+        let in_scope = self.is_in_scope(&record.service);
+        let known = self.entries.contains_key(&record.id);
+        if !known && self.entries.len() >= self.max {
+            return Inserted::Full;
+        }
+        self.share_names(&mut record);
+        let domain = record.domain.clone();
+        let entry = Entry {
+            record,
+            suspicion: None,
+            in_scope,
+        };
+        self.entries.insert(entry.record.id, entry);
+        if !in_scope {
+            self.trim_contacts(&domain);
+            return Inserted::Contact;
+        }
+        if known {
+            Inserted::Replaced
+        } else {
+            Inserted::Added
+        }
+    }
+
+    /// Removes an entry and returns whether it was in scope.
+    pub(crate) fn remove(&mut self, id: InstanceId) -> Option<bool> {
+        self.entries.remove(&id).map(|e| e.in_scope)
+    }
+
+    /// Changes the scope and returns the records that entered it.
+    pub(crate) fn set_scope(&mut self, scope: Scope) -> Vec<Record> {
+        self.scope = scope;
+        let mut entered = Vec::new();
+        let mut domains = BTreeSet::new();
+        let (scope, own) = (&self.scope, &self.own_service);
+        for e in self.entries.values_mut() {
+            let in_scope = e.record.service == *own || scope.contains(&e.record.service);
+            if in_scope && !e.in_scope {
+                entered.push(e.record.clone());
+            }
+            if !in_scope {
+                domains.insert(e.record.domain.clone());
+            }
+            e.in_scope = in_scope;
+        }
+        for d in domains {
+            self.trim_contacts(&d);
+        }
+        entered
+    }
+
+    /// Returns the hashes that are compared with other members.
+    pub(crate) fn sync(&self, own: &Record, service: &ServiceName) -> Sync {
+        let mut sync = Sync {
+            scope: scope_hash(&self.scope, &self.own_service),
+            whole: 0,
+            service: 0,
+        };
+        for r in self.scoped().chain([own]) {
+            let h = record_hash(r);
+            sync.whole ^= h;
+            if r.service == *service {
+                sync.service ^= h;
+            }
+        }
+        sync
+    }
+
+    /// Keeps one copy of each service, region and domain name.
+    fn share_names(&mut self, record: &mut Record) {
+        if self.names.len() > self.entries.len() + 64 {
+            self.names.retain(|n| Arc::strong_count(n) > 1);
+        }
+        let names = [
+            &mut record.service.0,
+            &mut record.region,
+            &mut record.domain.0,
+        ];
+        for name in names {
+            match self.names.get(name) {
+                Some(shared) => *name = shared.clone(),
+                None => _ = self.names.insert(name.clone()),
+            }
+        }
+    }
+
+    fn trim_contacts(&mut self, domain: &Domain) {
+        let contacts = self.entries.values().filter(|e| !e.in_scope);
+        let weigh = |e: &Entry| (mix(e.record.id.0 ^ mix(self.own.0)), e.record.id);
+        let mut by_weight: Vec<_> = contacts.map(|e| (weigh(e), &e.record)).collect();
+        by_weight.sort_by_key(|(w, _)| *w);
+        let (mut services, mut in_domain, mut drop) = (BTreeSet::new(), 0, Vec::new());
+        for (_, r) in by_weight {
+            let first_of_service = services.insert(&r.service);
+            if r.domain != *domain {
+                continue;
+            }
+            in_domain += 1;
+            if in_domain > CONTACTS_PER_DOMAIN && !first_of_service {
+                drop.push(r.id);
+            }
+        }
+        for id in drop {
+            self.entries.remove(&id);
+        }
+    }
+}
+
+fn scope_hash(scope: &Scope, own: &ServiceName) -> u64 {
+    match scope {
+        Scope::All => 0,
+        Scope::Services(set) => {
+            let mut all: BTreeSet<&ServiceName> = set.iter().collect();
+            all.insert(own);
+            all.iter().fold(1, |h, s| mix(h ^ InstanceId::of(&s.0).0))
+        }
+    }
+}
+
+/// Covers what changes with the incarnation and the state, so that a restarted instance that took
+/// the incarnation of its earlier life is noticed. Versions change too often to be compared.
+fn record_hash(r: &Record) -> u64 {
+    mix(mix(mix(r.id.0) ^ r.incarnation.0) ^ (r.state as u64) << 32 ^ u64::from(r.slots))
+}
+
+/// The finishing step of splitmix64.
+fn mix(x: u64) -> u64 {
+    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/crates/member/tests/mesh.rs
@@ -0,0 +1,346 @@
+//! Several members over a faulty network.
+
+mod net;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use member::{Body, Change, Event, Msg, Rumour, State, Update};
+use net::{Faults, Net, addr, domain, record};
+use proptest::prelude::{ProptestConfig, any, prop_oneof, proptest};
+use proptest::strategy::Strategy;
+use proptest::test_runner::RngSeed;
+use wire::{Fingerprint, InstanceId, Version};
+
+const NONE: Faults = Faults {
+    loss: 0.0,
+    double: 0.0,
+    delay: Duration::ZERO,
+};
+const LOSSY: Faults = Faults { loss: 0.05, ..NONE };
+const ROUGH: Faults = Faults {
+    loss: 0.1,
+    double: 0.1,
+    delay: Duration::from_millis(250),
+};
+
+/// Detection within a round of probes plus an extended suspicion, or a repair by comparison of
+/// tables; each takes well under this in a group of up to 12.
+const SETTLE: Duration = Duration::from_secs(45);
+
+fn secs(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+fn config(cases: u32, seed: u64) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(seed);
+    ProptestConfig {
+        cases,
+        rng_seed,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn is_down(c: &Change) -> bool {
+    matches!(c, Change::Down(_))
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Kill(usize),
+    Start(usize),
+    Pause(usize, u64),
+    Set(usize, State),
+    Wait(u64),
+}
+
+fn step(n: usize) -> impl Strategy<Value = Step> {
+    let state = || {
+        prop_oneof![
+            proptest::strategy::Just(State::Ready),
+            proptest::strategy::Just(State::Draining),
+            proptest::strategy::Just(State::Left),
+        ]
+    };
+    prop_oneof![
+        (0..n).prop_map(Step::Kill),
+        (0..n).prop_map(Step::Start),
+        (0..n, 1..40_u64).prop_map(|(i, s)| Step::Pause(i, s)),
+        (0..n, state()).prop_map(|(i, s)| Step::Set(i, s)),
+        (0..20_000_u64).prop_map(Step::Wait),
+    ]
+}
+
+fn run_step(net: &mut Net, step: Step) {
+    match step {
+        Step::Kill(i) => net.kill(i),
+        Step::Start(i) => net.start(i),
+        Step::Pause(i, s) if net.nodes[i].live => {
+            net.pause(i);
+            net.run(secs(s));
+            net.resume(i);
+        }
+        Step::Set(i, state) if net.nodes[i].live => {
+            net.set_state(i, state);
+            if state == State::Left {
+                net.run(Duration::from_millis(50));
+                net.kill(i);
+            }
+        }
+        Step::Wait(ms) => net.run(Duration::from_millis(ms)),
+        Step::Pause(..) | Step::Set(..) => {}
+    }
+}
+
+proptest! {
+    #![proptest_config(config(48, 11))]
+
+    /// Guards against live members that stay down or unknown, and dead ones that stay up, after
+    /// any sequence of kills, restarts, pauses and drains over a network that loses, doubles and
+    /// reorders messages.
+    #[test]
+    fn views_become_true_after_any_faults(
+        seed in any::<u64>(),
+        steps in proptest::collection::vec(step(9), 1..14),
+    ) {
+        let mut net = Net::ready(9, seed, NONE);
+        net.faults = ROUGH;
+        for s in steps {
+            run_step(&mut net, s);
+        }
+        net.faults = Faults { loss: 0.0, ..ROUGH };
+        let settled = net.settle(SETTLE);
+        proptest::prop_assert!(settled.is_ok(), "{settled:?}");
+    }
+}
+
+/// Guards against a joining member that is not learnt by everyone.
+#[gtest]
+fn a_fresh_mesh_becomes_complete() {
+    for n in [2, 12, 50] {
+        let net = Net::ready(n, 1, LOSSY);
+        expect_that!(net.difference(), none(), "{n} members");
+    }
+}
+
+/// Guards against work for a target that drains (goal: 3 s) and against late news of readiness.
+#[gtest]
+fn a_change_of_state_is_everywhere_within_three_seconds() {
+    for (n, seeds) in [(12, 20), (50, 10), (200, 2)] {
+        for seed in 0..seeds {
+            let mut net = Net::ready(n, seed, LOSSY);
+            for state in [State::Draining, State::Ready, State::Starting] {
+                let took = net.spread_time(n / 2, State::Ready, secs(0));
+                expect_that!(took.is_some() || state != State::Draining, eq(true));
+                net.set_state(n / 2, state);
+                let took = net.spread_time(n / 2, state, secs(3));
+                expect_that!(
+                    took,
+                    some(anything()),
+                    "{n} members, seed {seed}, {state:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against false deaths when a few messages are lost.
+#[gtest]
+fn nobody_is_declared_dead_at_five_percent_loss() {
+    for seed in 0..3 {
+        let mut net = Net::ready(30, seed, LOSSY);
+        net.clear_changes();
+        net.run(secs(300));
+        let deaths: usize = (0..30).map(|i| net.changes(i, is_down)).sum();
+        expect_that!(deaths, eq(0), "seed {seed}");
+    }
+}
+
+/// Guards against a restarted instance that old tombstones or late updates keep down. The instance
+/// restarts with the incarnation of its first life, before or after its death was noticed.
+#[gtest]
+fn a_restarted_instance_comes_back() {
+    for down_for in [0, 1, 4, 30] {
+        for seed in 0..5 {
+            let mut net = Net::ready(12, seed, LOSSY);
+            net.kill(5);
+            net.run(secs(down_for));
+            net.start(5);
+            let took = net.spread_time(5, State::Starting, secs(15));
+            expect_that!(took, some(anything()), "down for {down_for} s, seed {seed}");
+            expect_that!(
+                net.settle(secs(20)),
+                ok(anything()),
+                "{down_for} s, seed {seed}"
+            );
+        }
+    }
+}
+
+/// Guards against an old update that brings a dead member back.
+#[gtest]
+fn an_old_update_does_not_bring_a_dead_member_back() {
+    let mut net = Net::ready(12, 3, NONE);
+    let old = net.nodes[0].member.record(record(5, 0).id).unwrap().clone();
+    net.kill(5);
+    net.run(secs(30));
+    net.clear_changes();
+    let msg = Msg {
+        from: InstanceId::of("ledger-host-0001"),
+        incarnation: record(1, 0).incarnation,
+        version: Version(1),
+        digest_prefix: 7,
+        ask: false,
+        body: Body::Push,
+        updates: vec![Update::Alive(old)],
+    };
+    net.handle(
+        0,
+        Event::Received {
+            from: addr(1, 7001),
+            msg,
+        },
+    );
+    net.run(secs(5));
+    expect_that!(net.nodes[0].changes, eq(&vec![]));
+    expect_that!(net.difference(), none());
+}
+
+/// Guards against one death per member when a failure domain is cut off, on both sides, and
+/// against a domain that stays down after the network is back.
+#[gtest]
+fn a_cut_domain_is_reported_once_and_comes_back() {
+    for (n, seeds) in [(12, 10), (50, 3)] {
+        for seed in 0..seeds {
+            let mut net = Net::ready(n, seed, LOSSY);
+            net.clear_changes();
+            net.cut.insert(domain(0));
+            net.run(secs(30));
+            for i in 0..n {
+                let lost = |c: &Change| matches!(c, Change::DomainDown(d) if *d != domain(i));
+                let expected = if i % 3 == 0 { 2 } else { 1 };
+                expect_that!(net.changes(i, lost), eq(expected), "{n}/{seed}: {i} cut");
+            }
+            net.cut.clear();
+            let settled = net.settle(secs(2));
+            expect_that!(settled, ok(anything()), "{n} members, seed {seed}");
+            net.run(secs(60));
+            for i in 0..n {
+                let up = |c: &Change| matches!(c, Change::DomainUp(_));
+                let expected = if i % 3 == 0 { 2 } else { 1 };
+                expect_that!(net.changes(i, up), eq(expected), "{n}/{seed}: {i} up");
+                expect_that!(net.changes(i, is_down), eq(0), "{n}/{seed}: {i} deaths");
+            }
+        }
+    }
+}
+
+/// Guards against members that died during a cut and stay known after it, and against members that
+/// started during the cut and stay unknown.
+#[gtest]
+fn changes_behind_a_cut_are_learnt_after_it() {
+    for seed in 0..5 {
+        let mut net = Net::ready(12, seed, LOSSY);
+        net.kill(9);
+        net.settle(secs(40)).unwrap();
+        net.cut.insert(domain(0));
+        net.run(secs(20));
+        net.kill(3);
+        net.start(9);
+        net.set_state(6, State::Draining);
+        net.run(secs(20));
+        net.cut.clear();
+        expect_that!(net.settle(SETTLE), ok(anything()), "seed {seed}");
+    }
+}
+
+/// Guards against a domain that is taken for cut off while one of its members answers.
+#[gtest]
+fn a_domain_with_a_live_member_is_not_down() {
+    let mut net = Net::ready(12, 4, LOSSY);
+    net.clear_changes();
+    for i in [0, 3, 6] {
+        net.kill(i);
+    }
+    expect_that!(net.settle(SETTLE), ok(anything()));
+    for i in net.live() {
+        let lost = |c: &Change| matches!(c, Change::DomainDown(_));
+        expect_that!(net.changes(i, lost), eq(0), "{i}");
+        expect_that!(net.changes(i, is_down), eq(3), "{i}");
+    }
+}
+
+/// Guards against a paused process that takes all others for dead when it runs again.
+#[gtest]
+fn a_paused_member_declares_nobody_dead() {
+    for seconds in [2, 10, 60] {
+        let mut net = Net::ready(12, 6, LOSSY);
+        net.clear_changes();
+        net.pause(4);
+        net.run(secs(seconds));
+        net.resume(4);
+        net.run(secs(30));
+        expect_that!(net.changes(4, is_down), eq(0), "paused for {seconds} s");
+        expect_that!(net.difference(), none(), "paused for {seconds} s");
+    }
+}
+
+/// Guards against a restart below the version that was active before the death.
+#[gtest]
+fn floors_survive_death() {
+    let mut net = Net::ready(12, 7, LOSSY);
+    net.publish(5, 41);
+    net.run(secs(20));
+    net.kill(5);
+    net.run(secs(900));
+    let id = record(5, 0).id;
+    for i in net.live() {
+        let m = &net.nodes[i].member;
+        expect_that!(m.record(id), none(), "{i}");
+        let answer = m.join_answer(id, m.scope());
+        expect_that!(answer.floor, eq(Version(41)), "{i}");
+    }
+}
+
+/// Guards against rumours that are lost or reported twice.
+#[gtest]
+fn a_rumour_is_reported_once_everywhere() {
+    let mut net = Net::ready(50, 8, ROUGH);
+    let strike = |boot| Rumour::Strike {
+        fingerprint: Fingerprint(9),
+        instance: InstanceId(3),
+        boot,
+    };
+    for boot in 0..20 {
+        net.handle(
+            7,
+            Event::Rumour {
+                payload: strike(boot),
+            },
+        );
+    }
+    net.run(secs(6));
+    for i in (0..50).filter(|i| *i != 7) {
+        let mut heard = net.nodes[i].rumours.clone();
+        heard.sort();
+        let all: Vec<Rumour> = (0..20).map(strike).collect();
+        expect_that!(heard, eq(&all), "{i}");
+    }
+}
+
+/// Guards against a table that stays wrong after updates were lost for good.
+#[gtest]
+fn a_missed_update_is_repaired_by_comparison() {
+    for seed in 0..5 {
+        let mut net = Net::ready(12, seed, NONE);
+        net.deaf = Some((2, record(5, 0).id));
+        net.set_state(5, State::Draining);
+        let id = record(5, 0).id;
+        let took = (0..30).find(|_| {
+            net.run(secs(1));
+            net.nodes[2].member.record(id).map(|r| r.state) == Some(State::Draining)
+        });
+        expect_that!(took, some(anything()), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/member/tests/net/mod.rs
@@ -0,0 +1,416 @@
+//! Several members on a virtual clock, with a network that loses, doubles, delays and cuts.
+
+// Each test file and the example use a part of it.
+#![allow(dead_code, unreachable_pub)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use member::{
+    Action, Change, Config, Event, LocalState, MAX_MSG_BYTES, Member, Msg, RawRecord, Record,
+    Rumour, SEAL_HEADER_BYTES, Scope, State, Table,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use wire::{Domain, Incarnation, InstanceId, ServiceName, Time, Version};
+
+const LATENCY: Duration = Duration::from_micros(500);
+const SEEDS: usize = 3;
+pub const DOMAINS: usize = 3;
+pub const SERVICES: usize = 3;
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub loss: f64,
+    pub double: f64,
+    /// Extra delay, up to this much at random; reorders messages.
+    pub delay: Duration,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes: u64,
+    pub table_bytes: u64,
+}
+
+#[derive(Debug)]
+pub struct Node {
+    pub member: Member,
+    pub live: bool,
+    pub paused: bool,
+    pub changes: Vec<Change>,
+    pub rumours: Vec<Rumour>,
+    pub heard: BTreeMap<InstanceId, Version>,
+    pub exchanges: usize,
+    wake: Time,
+    version: Version,
+}
+
+#[derive(Debug)]
+enum Parcel {
+    Datagram { from: usize, bytes: Vec<u8> },
+    Join,
+    Table(Table),
+}
+
+#[derive(Debug)]
+pub struct Net {
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    pub faults: Faults,
+    pub cut: BTreeSet<Domain>,
+    pub traffic: Traffic,
+    /// Instances whose records and updates are lost on the way to a node.
+    pub deaf: Option<(usize, InstanceId)>,
+    ids: BTreeMap<InstanceId, usize>,
+    addrs: BTreeMap<SocketAddr, usize>,
+    wakes: BTreeSet<(Time, usize)>,
+    parcels: BTreeMap<(Time, u64), (usize, Parcel)>,
+    sent: u64,
+    rng: StdRng,
+    cfg: Config,
+}
+
+pub fn addr(i: usize, port: u16) -> SocketAddr {
+    let host = u16::try_from(i).unwrap().to_be_bytes();
+    SocketAddr::from(([10, 0, host[0], host[1]], port))
+}
+
+pub fn domain(i: usize) -> Domain {
+    format!("dar-{}", i % DOMAINS).as_str().into()
+}
+
+pub fn record(i: usize, incarnation: u64) -> Record {
+    let services = ["ledger-svc", "sampling-svc", "evidence-svc"];
+    let raw = RawRecord {
+        name: format!("ledger-host-{i:04}").into(),
+        incarnation: Incarnation(incarnation),
+        service: services[i / DOMAINS % SERVICES].into(),
+        region: "africa-east".into(),
+        domain: domain(i),
+        gossip: addr(i, 7001),
+        rpc: addr(i, 7002),
+        data: addr(i, 7003),
+        state: State::Starting,
+        version: Version(0),
+        digest_prefix: 0,
+        slots: 18,
+    };
+    raw.try_into().unwrap()
+}
+
+impl Net {
+    /// Starts `n` members within a second and lets them become ready.
+    pub fn ready(n: usize, seed: u64, faults: Faults) -> Net {
+        let mut net = Net::empty(seed, faults);
+        for i in 0..n {
+            net.add(i);
+            net.run(Duration::from_millis(1_000 / n as u64));
+            net.set_state(i, State::Ready);
+        }
+        net.settle(Duration::from_secs(30)).unwrap();
+        net
+    }
+
+    pub fn empty(seed: u64, faults: Faults) -> Net {
+        Net {
+            now: Time::from_millis(1_000_000),
+            nodes: Vec::new(),
+            faults,
+            cut: BTreeSet::new(),
+            traffic: Traffic::default(),
+            deaf: None,
+            ids: BTreeMap::new(),
+            addrs: BTreeMap::new(),
+            wakes: BTreeSet::new(),
+            parcels: BTreeMap::new(),
+            sent: 0,
+            rng: StdRng::seed_from_u64(seed),
+            cfg: Config::default(),
+        }
+    }
+
+    fn add(&mut self, i: usize) {
+        let node = Node {
+            member: Member::new(self.cfg.clone(), record(i, 0), 0),
+            live: false,
+            paused: false,
+            changes: Vec::new(),
+            rumours: Vec::new(),
+            heard: BTreeMap::new(),
+            exchanges: 0,
+            wake: Time::ZERO,
+            version: Version(1),
+        };
+        self.ids.insert(node.member.own().id, i);
+        self.addrs.insert(addr(i, 7001), i);
+        self.nodes.push(node);
+        self.start(i);
+    }
+
+    /// Starts an instance without any memory, with the incarnation of its first life.
+    pub fn start(&mut self, i: usize) {
+        let seed = self.rng.random();
+        let node = &mut self.nodes[i];
+        node.member = Member::new(self.cfg.clone(), record(i, 0), seed);
+        node.live = true;
+        node.paused = false;
+        self.handle(i, Event::Tick);
+        self.parcel(i, LATENCY, Parcel::Join);
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        self.nodes[i].live = false;
+        self.wakes.remove(&(self.nodes[i].wake, i));
+    }
+
+    pub fn pause(&mut self, i: usize) {
+        self.nodes[i].paused = true;
+        self.wakes.remove(&(self.nodes[i].wake, i));
+    }
+
+    pub fn resume(&mut self, i: usize) {
+        self.nodes[i].paused = false;
+        self.handle(i, Event::Tick);
+    }
+
+    pub fn set_state(&mut self, i: usize, state: State) {
+        let local = LocalState {
+            state,
+            version: self.nodes[i].version,
+            digest_prefix: 7,
+            slots: 18,
+        };
+        self.handle(i, Event::SetLocal(local));
+    }
+
+    pub fn publish(&mut self, i: usize, version: u64) {
+        self.nodes[i].version = Version(version);
+        self.set_state(i, self.nodes[i].member.own().state);
+    }
+
+    pub fn handle(&mut self, i: usize, event: Event) {
+        let actions = self.nodes[i].member.handle(self.now, event);
+        self.act(i, actions);
+    }
+
+    fn act(&mut self, i: usize, actions: Vec<Action>) {
+        for a in actions {
+            match a {
+                Action::Send { to, msg } => self.send(i, to, msg),
+                Action::Changed(c) => self.nodes[i].changes.push(c),
+                Action::Heard { from, version, .. } => {
+                    self.nodes[i].heard.insert(from, version);
+                }
+                Action::Rumour(r) => self.nodes[i].rumours.push(r),
+                Action::Exchange { with } => self.exchange(i, self.ids[&with]),
+            }
+        }
+        let node = &mut self.nodes[i];
+        self.wakes.remove(&(node.wake, i));
+        // A node's timer has a resolution of a millisecond.
+        node.wake = node
+            .member
+            .next_wake()
+            .max(self.now + Duration::from_millis(1));
+        self.wakes.insert((node.wake, i));
+    }
+
+    fn send(&mut self, i: usize, to: SocketAddr, msg: Msg) {
+        let bytes = postcard::to_stdvec(&msg).unwrap();
+        assert!(bytes.len() <= MAX_MSG_BYTES, "{} bytes", bytes.len());
+        self.traffic.messages += 1;
+        self.traffic.bytes += (bytes.len() + SEAL_HEADER_BYTES) as u64;
+        let to = self.addrs[&to];
+        let copies = 1 + usize::from(self.rng.random_bool(self.faults.double));
+        for _ in 0..copies {
+            let lost = self.rng.random_bool(self.faults.loss) || !self.connected(i, to);
+            let delay = LATENCY + self.faults.delay.mul_f64(self.rng.random());
+            if !lost {
+                let bytes = bytes.clone();
+                self.parcel(to, delay, Parcel::Datagram { from: i, bytes });
+            }
+        }
+    }
+
+    fn connected(&self, a: usize, b: usize) -> bool {
+        let outside = |i: usize| self.cut.contains(&domain(i));
+        domain(a) == domain(b) || !outside(a) && !outside(b)
+    }
+
+    fn exchange(&mut self, a: usize, b: usize) {
+        self.nodes[a].exchanges += 1;
+        if !self.connected(a, b) || !self.running(b) {
+            return;
+        }
+        for (from, to) in [(a, b), (b, a)] {
+            let scope = self.nodes[a].member.scope().clone();
+            let table = self.nodes[from].member.tables(&scope);
+            self.traffic.table_bytes += postcard::to_stdvec(&table).unwrap().len() as u64;
+            self.parcel(to, LATENCY, Parcel::Table(table));
+        }
+    }
+
+    fn running(&self, i: usize) -> bool {
+        self.nodes[i].live && !self.nodes[i].paused
+    }
+
+    fn parcel(&mut self, to: usize, delay: Duration, parcel: Parcel) {
+        self.sent += 1;
+        self.parcels
+            .insert((self.now + delay, self.sent), (to, parcel));
+    }
+
+    pub fn run(&mut self, d: Duration) {
+        let end = self.now + d;
+        loop {
+            let parcel = self.parcels.first_key_value().map(|(k, _)| k.0);
+            let wake = self.wakes.first().map(|w| w.0);
+            let next = parcel.unwrap_or(Time::MAX).min(wake.unwrap_or(Time::MAX));
+            if next > end {
+                break;
+            }
+            self.now = next;
+            if parcel == Some(next) {
+                let (_, (to, parcel)) = self.parcels.pop_first().unwrap();
+                self.deliver(to, parcel);
+            } else if let Some((_, i)) = self.wakes.pop_first() {
+                self.handle(i, Event::Tick);
+            }
+        }
+        self.now = end;
+    }
+
+    fn deliver(&mut self, to: usize, parcel: Parcel) {
+        if !self.running(to) {
+            // The node repeats its request to join until it is answered.
+            if matches!(parcel, Parcel::Join) && self.nodes[to].live {
+                self.parcel(to, Duration::from_secs(1), Parcel::Join);
+            }
+            return;
+        }
+        match parcel {
+            Parcel::Datagram { from, bytes } => self.receive(to, from, &bytes),
+            Parcel::Join => self.join(to),
+            Parcel::Table(table) => {
+                let actions = self.nodes[to].member.merge(self.now, table);
+                self.act(to, actions);
+            }
+        }
+    }
+
+    fn receive(&mut self, to: usize, from: usize, bytes: &[u8]) {
+        let msg: Msg = postcard::from_bytes(bytes).unwrap();
+        let lost = |(node, id)| {
+            let about = |u: &member::Update| matches!(u, member::Update::Alive(r) if r.id == id);
+            node == to && (msg.from == id || msg.updates.iter().any(about))
+        };
+        if !self.deaf.is_some_and(lost) {
+            self.handle(
+                to,
+                Event::Received {
+                    from: addr(from, 7001),
+                    msg,
+                },
+            );
+        }
+    }
+
+    /// Asks up to three running members to join; repeated each second until one answers.
+    fn join(&mut self, i: usize) {
+        let id = self.nodes[i].member.own().id;
+        let scope = self.nodes[i].member.scope().clone();
+        let others = (0..self.nodes.len()).filter(|&s| s != i && self.running(s));
+        let seeds: Vec<_> = others
+            .filter(|&s| self.connected(s, i))
+            .take(SEEDS)
+            .collect();
+        for &s in &seeds {
+            let answer = self.nodes[s].member.join_answer(id, &scope);
+            self.traffic.table_bytes += postcard::to_stdvec(&answer).unwrap().len() as u64;
+            self.handle(i, Event::JoinAnswer(answer));
+        }
+        if seeds.is_empty() && self.nodes.len() > 1 {
+            self.parcel(i, Duration::from_secs(1), Parcel::Join);
+        }
+    }
+
+    pub fn live(&self) -> impl Iterator<Item = usize> {
+        (0..self.nodes.len()).filter(|&i| self.nodes[i].live)
+    }
+
+    /// Returns what `i` knows: the state of each member that is neither suspect nor unreachable.
+    pub fn view(&self, i: usize) -> BTreeMap<usize, State> {
+        let m = &self.nodes[i].member;
+        let good = |r: &&Record| !m.is_suspect(r.id) && !m.is_domain_down(&r.domain);
+        let records = m.records().filter(good);
+        records.map(|r| (self.ids[&r.id], r.state)).collect()
+    }
+
+    /// Returns what `i` should know.
+    pub fn truth(&self, i: usize) -> BTreeMap<usize, State> {
+        let others = self.live().filter(|&j| j != i);
+        others
+            .map(|j| (j, self.nodes[j].member.own().state))
+            .collect()
+    }
+
+    /// Returns the first difference between the view of a live member and the truth.
+    pub fn difference(&self) -> Option<String> {
+        let wrong = |i: usize| {
+            let (view, truth) = (self.view(i), self.truth(i));
+            let missing = truth.iter().filter(|(j, s)| view.get(j) != Some(s));
+            let m = &self.nodes[i].member;
+            let kept = m.records().filter(|r| !m.is_domain_down(&r.domain));
+            let extra = kept
+                .map(|r| self.ids[&r.id])
+                .filter(|j| !truth.contains_key(j));
+            let (missing, extra): (Vec<_>, Vec<_>) = (missing.collect(), extra.collect());
+            let clean = missing.is_empty() && extra.is_empty();
+            (!clean).then(|| format!("{i} misses {missing:?}, has {extra:?}"))
+        };
+        self.live().find_map(wrong)
+    }
+
+    /// Runs until all views are right and returns how long that took.
+    pub fn settle(&mut self, limit: Duration) -> Result<Duration, String> {
+        let start = self.now;
+        while let Some(wrong) = self.difference() {
+            if self.now - start >= limit {
+                return Err(wrong);
+            }
+            self.run(Duration::from_millis(50));
+        }
+        Ok(self.now - start)
+    }
+
+    /// Returns the time until all live members have `state` as the state of `i`.
+    pub fn spread_time(&mut self, i: usize, state: State, limit: Duration) -> Option<Duration> {
+        let (start, id) = (self.now, self.nodes[i].member.own().id);
+        while self.now - start <= limit {
+            let known = |j: usize| self.nodes[j].member.record(id).map(|r| r.state) == Some(state);
+            if self.live().all(|j| j == i || known(j)) {
+                return Some(self.now - start);
+            }
+            self.run(Duration::from_millis(10));
+        }
+        None
+    }
+
+    /// Returns how many of the changes that `i` reported are `wanted`.
+    pub fn changes(&self, i: usize, wanted: impl Fn(&Change) -> bool) -> usize {
+        self.nodes[i].changes.iter().filter(|c| wanted(c)).count()
+    }
+
+    pub fn clear_changes(&mut self) {
+        for n in &mut self.nodes {
+            n.changes.clear();
+        }
+    }
+
+    pub fn scope_of(services: &[&str]) -> Scope {
+        Scope::Services(services.iter().map(|s| ServiceName::from(*s)).collect())
+    }
+}
