Escape stream names in the URLs of the log client

Cause: HttpLog put the name of a stream into the URL as it is. An append to 's?from=0' or 's#0' went to the stream 's' and got offsets 1 and 2 there, and 's/0' got status 404. Found by the contract test of plat::Log, which comes with this commit: one table of cases for FakeLog and for HttpLog in front of LogServer. Ruled out: a restriction of names in the trait, which each implementation would have to repeat. Changed: the base is parsed once, a name is one escaped path segment, and a base that isn't a URL is an error of HttpLog::new (ClientError is an enum now).

--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use reqwest::{Response, StatusCode};
+use reqwest::{Response, StatusCode, Url};
 use snafu::ResultExt;
 use wire::Offset;
 
@@ -18,15 +18,27 @@
 /// Client of a log that offers `POST /streams/{name}` and `GET /streams/{name}`.
 #[derive(Clone, Debug)]
 pub struct HttpLog {
-    base: String,
+    base: Url,
     client: reqwest::Client,
 }
 
 /// The HTTP client could not be set up.
 #[derive(Debug, snafu::Snafu)]
-#[snafu(display("cannot set up the log's HTTP client: {source}"))]
-pub struct ClientError {
-    source: reqwest::Error,
+pub enum ClientError {
+    /// The HTTP library failed.
+    #[snafu(display("cannot set up the log's HTTP client: {source}"))]
+    Client {
+        /// Error of the library.
+        source: reqwest::Error,
+    },
+    /// The log's URL can't be used.
+    #[snafu(display("{url:?} is not the HTTP URL of a log: {reason}"))]
+    Base {
+        /// The URL of the settings.
+        url: String,
+        /// What is wrong with it.
+        reason: String,
+    },
 }
 
 impl HttpLog {
@@ -34,7 +46,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the HTTP client can't be set up.
+    /// Fails when `base` isn't a URL with a path, or when the HTTP client can't be set up.
     pub fn new(base: &str) -> Result<HttpLog, ClientError> {
         let client = reqwest::Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
@@ -42,14 +54,18 @@
             .no_proxy()
             .build()
             .context(ClientSnafu)?;
-        Ok(HttpLog {
-            base: base.trim_end_matches('/').to_owned(),
-            client,
-        })
+        let base = parse_base(base)?;
+        Ok(HttpLog { base, client })
     }
 
-    fn url(&self, stream: &str) -> String {
-        format!("{}/streams/{stream}", self.base)
+    /// The name is one path segment; its special characters are escaped, so that two streams can't
+    /// share a URL.
+    fn url(&self, stream: &str) -> Url {
+        let mut url = self.base.clone();
+        if let Ok(mut path) = url.path_segments_mut() {
+            path.pop_if_empty().push("streams").push(stream);
+        }
+        url
     }
 
     async fn append_records(
@@ -77,11 +93,8 @@
         from: Offset,
         wait: Duration,
     ) -> Result<Batch, LogError> {
-        let url = format!(
-            "{}?from={from}&wait_ms={}",
-            self.url(stream),
-            wait.as_millis()
-        );
+        let mut url = self.url(stream);
+        url.set_query(Some(&format!("from={from}&wait_ms={}", wait.as_millis())));
         let req = self.client.get(url).timeout(wait + READ_MARGIN);
         let res = req.send().await.map_err(no_answer)?;
         if res.status() == StatusCode::GONE {
@@ -115,6 +128,18 @@
     }
 }
 
+fn parse_base(base: &str) -> Result<Url, ClientError> {
+    let fail = |reason: String| ClientError::Base {
+        url: base.to_owned(),
+        reason,
+    };
+    let url = Url::parse(base).map_err(|e| fail(e.to_string()))?;
+    if url.cannot_be_a_base() {
+        return Err(fail("it has no path".to_owned()));
+    }
+    Ok(url)
+}
+
 fn success(res: Response) -> Result<Response, LogError> {
     let status = res.status();
     if status.is_success() {
--- /dev/null
+++ b/crates/plat/tests/log.rs
@@ -0,0 +1,266 @@
+//! Contract of [`plat::Log`], for the stand-in itself and for the HTTP client in front of it.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use fakes::{FakeLog, LogFaults, LogServer};
+use googletest::prelude::*;
+use plat::{Batch, BoxFuture, HttpLog, Log, LogError};
+use wire::Offset;
+
+const LOOPBACK: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+const NO_WAIT: Duration = Duration::ZERO;
+const SHORT: Duration = Duration::from_millis(50);
+const LONG: Duration = Duration::from_secs(5);
+
+/// A case gets the interface under test and the stand-in behind it, to set its faults.
+type Case = for<'a> fn(&'a dyn Log, &'a FakeLog) -> BoxFuture<'a, ()>;
+
+const CASES: &[(&str, Case)] = &[
+    ("order kept, no gaps", |l, _| Box::pin(order(l))),
+    ("batch contiguous", |l, _| Box::pin(batch_is_contiguous(l))),
+    ("content kept", |l, _| Box::pin(content(l))),
+    ("long poll wakes", |l, _| Box::pin(long_poll_wakes(l))),
+    ("wait ends empty", |l, _| Box::pin(wait_ends_empty(l))),
+    ("long read in pieces", |l, _| Box::pin(pieces(l))),
+    ("streams isolated", |l, _| Box::pin(streams_are_isolated(l))),
+    ("expired offset", |l, f| Box::pin(expired(l, f))),
+    ("outage", |l, f| Box::pin(outage(l, f))),
+    ("outage during a long poll", |l, f| {
+        Box::pin(outage_wakes(l, f))
+    }),
+    ("lost answer", |l, f| Box::pin(lost_answer(l, f))),
+];
+
+// Guards against a stand-in and a client that differ in what the rest of the system relies on.
+#[gtest]
+#[tokio::test]
+async fn the_stand_in_keeps_the_contract() {
+    for (name, case) in CASES {
+        println!("case: {name}");
+        let log = FakeLog::new();
+        case(&log, &log).await;
+    }
+}
+
+// The same for the HTTP client: the rest of the system sees the log only through it.
+#[gtest]
+#[tokio::test]
+async fn the_http_client_keeps_the_contract() {
+    for (name, case) in CASES {
+        println!("case: {name}");
+        let server = LogServer::start(LOOPBACK, FakeLog::new())
+            .await
+            .expect("a port");
+        let client = HttpLog::new(&server.url()).expect("a client");
+        case(&client, server.log()).await;
+        server.stop().await;
+    }
+}
+
+fn records(items: &[&str]) -> Vec<Vec<u8>> {
+    items.iter().map(|s| s.as_bytes().to_vec()).collect()
+}
+
+async fn append(log: &dyn Log, stream: &str, items: &[&str]) -> u64 {
+    log.append(stream, records(items))
+        .await
+        .expect("an append")
+        .0
+}
+
+async fn read(log: &dyn Log, stream: &str, from: u64, wait: Duration) -> Batch {
+    log.read(stream, Offset(from), wait).await.expect("a read")
+}
+
+/// Returns the offsets and contents of a batch.
+fn content_of(batch: &Batch) -> Vec<(u64, String)> {
+    let text = |data: &[u8]| String::from_utf8_lossy(data).into_owned();
+    let records = batch.records.iter();
+    records.map(|r| (r.offset.0, text(&r.data))).collect()
+}
+
+fn pairs(items: &[(u64, &str)]) -> Vec<(u64, String)> {
+    items.iter().map(|(o, s)| (*o, (*s).to_owned())).collect()
+}
+
+async fn order(log: &dyn Log) {
+    for (i, item) in (0..).zip(["a", "b", "c"]) {
+        expect_that!(append(log, "s", &[item]).await, eq(i));
+    }
+    let batch = read(log, "s", 1, NO_WAIT).await;
+    expect_that!(content_of(&batch), eq(&pairs(&[(1, "b"), (2, "c")])));
+    expect_that!((batch.oldest, batch.end), eq((Offset(0), Offset(3))));
+}
+
+async fn batch_is_contiguous(log: &dyn Log) {
+    let appends: Vec<_> = (0..20)
+        .map(|i| log.append("s", records(&[&format!("{i}-0"), &format!("{i}-1")])))
+        .collect();
+    let mut firsts = Vec::new();
+    for (i, first) in futures_join(appends).await.into_iter().enumerate() {
+        firsts.push((first.expect("an append").0, i));
+    }
+    let found = content_of(&read(log, "s", 0, NO_WAIT).await);
+    firsts.sort_unstable();
+    let expected = firsts
+        .iter()
+        .flat_map(|(first, i)| [(*first, format!("{i}-0")), (first + 1, format!("{i}-1"))]);
+    expect_that!(found, eq(&expected.collect::<Vec<_>>()));
+}
+
+/// Runs all futures at once.
+async fn futures_join<T>(futures: Vec<BoxFuture<'_, T>>) -> Vec<T> {
+    let mut futures: Vec<_> = futures.into_iter().map(|f| (f, None)).collect();
+    std::future::poll_fn(|cx| {
+        for (f, done) in futures.iter_mut().filter(|(_, done)| done.is_none()) {
+            if let std::task::Poll::Ready(value) = f.as_mut().poll(cx) {
+                *done = Some(value);
+            }
+        }
+        if futures.iter().any(|(_, done)| done.is_none()) {
+            return std::task::Poll::Pending;
+        }
+        std::task::Poll::Ready(())
+    })
+    .await;
+    futures.into_iter().filter_map(|(_, done)| done).collect()
+}
+
+async fn content(log: &dyn Log) {
+    let all: Vec<u8> = (0..=255).collect();
+    let large = vec![0xfb; 1024 * 1024];
+    let sent = vec![Vec::new(), all, large];
+    log.append("s", sent.clone()).await.expect("an append");
+    let batch = read(log, "s", 0, NO_WAIT).await;
+    let found: Vec<_> = batch.records.into_iter().map(|r| r.data).collect();
+    expect_that!(found == sent, eq(true));
+}
+
+async fn long_poll_wakes(log: &dyn Log) {
+    let started = Instant::now();
+    let write = async {
+        tokio::time::sleep(SHORT).await;
+        append(log, "other", &["x"]).await;
+        tokio::time::sleep(SHORT).await;
+        append(log, "s", &["a"]).await;
+    };
+    let (batch, ()) = tokio::join!(read(log, "s", 0, LONG), write);
+    expect_that!(content_of(&batch), eq(&pairs(&[(0, "a")])));
+    expect_that!(batch.end, eq(Offset(1)));
+    expect_that!(started.elapsed(), lt(LONG / 2));
+}
+
+async fn wait_ends_empty(log: &dyn Log) {
+    append(log, "s", &["a"]).await;
+    for (stream, from, end) in [("s", 1, 1), ("never written", 0, 0)] {
+        let started = Instant::now();
+        let batch = read(log, stream, from, SHORT).await;
+        expect_that!(batch.records, is_empty(), "{stream}");
+        expect_that!(
+            (batch.oldest, batch.end),
+            eq((Offset(0), Offset(end))),
+            "{stream}"
+        );
+        expect_that!(started.elapsed(), all!(ge(SHORT), lt(LONG / 2)), "{stream}");
+    }
+}
+
+async fn pieces(log: &dyn Log) {
+    const COUNT: u64 = 2_500;
+    let items: Vec<String> = (0..COUNT).map(|i| i.to_string()).collect();
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    append(log, "s", &items).await;
+    let mut next = 0;
+    while next < COUNT {
+        let batch = read(log, "s", next, NO_WAIT).await;
+        expect_that!(batch.end, eq(Offset(COUNT)));
+        for (offset, text) in content_of(&batch) {
+            assert_eq!((offset, text), (next, next.to_string()));
+            next += 1;
+        }
+    }
+}
+
+async fn streams_are_isolated(log: &dyn Log) {
+    let names = [
+        "s", "s.0", "s/0", "s?from=0", "s#0", "s%2F0", "s 0", "S", "ü",
+    ];
+    for name in names {
+        let first = log.append(name, records(&[name])).await;
+        expect_that!(first, ok(eq(&Offset(0))), "{name}");
+    }
+    for name in names {
+        let batch = log.read(name, Offset(0), NO_WAIT).await;
+        let found = batch.map(|b| content_of(&b));
+        expect_that!(found, ok(eq(&pairs(&[(0, name)]))), "{name}");
+    }
+}
+
+async fn expired(log: &dyn Log, fake: &FakeLog) {
+    append(log, "s", &["a", "b", "c"]).await;
+    fake.set_faults(LogFaults {
+        retain: 2,
+        ..LogFaults::default()
+    });
+    expect_that!(append(log, "s", &["d"]).await, eq(3));
+    let early = log.read("s", Offset(1), LONG).await;
+    let (from, oldest) = (Offset(1), Offset(2));
+    expect_that!(
+        early,
+        err(matches_pattern!(LogError::Expired {
+            from: eq(&from),
+            oldest: eq(&oldest)
+        }))
+    );
+    let batch = read(log, "s", 2, NO_WAIT).await;
+    expect_that!(content_of(&batch), eq(&pairs(&[(2, "c"), (3, "d")])));
+    expect_that!((batch.oldest, batch.end), eq((oldest, Offset(4))));
+}
+
+async fn outage(log: &dyn Log, fake: &FakeLog) {
+    append(log, "s", &["a"]).await;
+    fake.set_faults(LogFaults {
+        down: true,
+        ..LogFaults::default()
+    });
+    let refused = log
+        .append("s", records(&["b"]))
+        .await
+        .expect_err("an outage");
+    expect_that!(refused.may_have_written(), eq(false));
+    expect_that!(log.read("s", Offset(0), LONG).await, err(anything()));
+    fake.set_faults(LogFaults::default());
+    let batch = read(log, "s", 0, NO_WAIT).await;
+    expect_that!(content_of(&batch), eq(&pairs(&[(0, "a")])));
+}
+
+async fn outage_wakes(log: &dyn Log, fake: &FakeLog) {
+    let started = Instant::now();
+    let fail = async {
+        tokio::time::sleep(SHORT).await;
+        fake.set_faults(LogFaults {
+            down: true,
+            ..LogFaults::default()
+        });
+    };
+    let (batch, ()) = tokio::join!(log.read("s", Offset(0), LONG), fail);
+    expect_that!(batch, err(anything()));
+    expect_that!(started.elapsed(), lt(LONG / 2));
+}
+
+async fn lost_answer(log: &dyn Log, fake: &FakeLog) {
+    fake.set_faults(LogFaults {
+        lose_answers: 1,
+        ..LogFaults::default()
+    });
+    let lost = log
+        .append("s", records(&["a"]))
+        .await
+        .expect_err("a lost answer");
+    expect_that!(lost.may_have_written(), eq(true));
+    expect_that!(append(log, "s", &["b"]).await, eq(1));
+    let batch = read(log, "s", 0, NO_WAIT).await;
+    expect_that!(content_of(&batch), eq(&pairs(&[(0, "a"), (1, "b")])));
+}
