Count an append as unsettled after status 408 and most of 5xx

Cause: HttpLog reported each status but 502 and 504 as a refusal, after which nothing is written. A log that fails inside after the write, or that answers 408, may have written. A claim that is refused on that ground would get no release and keep its key for the whole window. Ruled out: taking 503 as unsettled as well; it is the documented answer of a log that is down, and each refused claim would then cost a release. Changed: only 4xx without 408, and 503, are refusals. The test answers with fixed bytes over a loopback socket.

--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -145,17 +145,24 @@
     if status.is_success() {
         return Ok(res);
     }
-    // A gateway in front of the log may answer 502 or 504 after the log took the append.
-    if status == StatusCode::BAD_GATEWAY || status == StatusCode::GATEWAY_TIMEOUT {
-        return Err(LogError::NoAnswer {
-            reason: format!("HTTP status {status}"),
+    if is_clear_refusal(status) {
+        return Err(LogError::Refused {
+            status: status.as_u16(),
         });
     }
-    Err(LogError::Refused {
-        status: status.as_u16(),
+    Err(LogError::NoAnswer {
+        reason: format!("HTTP status {status}"),
     })
 }
 
+/// Returns whether the log can't have taken an append that it answered with `status`. A log that
+/// fails inside (500) or a gateway in front of it (502, 504) may answer after the write, and 408
+/// says only that the answer came too late.
+fn is_clear_refusal(status: StatusCode) -> bool {
+    status == StatusCode::SERVICE_UNAVAILABLE
+        || (status.is_client_error() && status != StatusCode::REQUEST_TIMEOUT)
+}
+
 fn no_answer(e: impl std::fmt::Display) -> LogError {
     LogError::NoAnswer {
         reason: e.to_string(),
--- a/crates/plat/tests/log.rs
+++ b/crates/plat/tests/log.rs
@@ -6,6 +6,7 @@
 use fakes::{FakeLog, LogFaults, LogServer};
 use googletest::prelude::*;
 use plat::{Batch, BoxFuture, HttpLog, Log, LogError};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use wire::Offset;
 
 const LOOPBACK: SocketAddr =
@@ -264,3 +265,65 @@
     let batch = read(log, "s", 0, NO_WAIT).await;
     expect_that!(content_of(&batch), eq(&pairs(&[(0, "a"), (1, "b")])));
 }
+
+/// Answers one connection with `answer`, or closes it when that is empty.
+async fn answer_once(answer: &'static str) -> (String, tokio::task::JoinHandle<()>) {
+    let listener = tokio::net::TcpListener::bind(LOOPBACK)
+        .await
+        .expect("a port");
+    let url = format!("http://{}", listener.local_addr().expect("an address"));
+    let task = tokio::spawn(async move {
+        let (mut tcp, _) = listener.accept().await.expect("a connection");
+        let mut buf = [0; 4_096];
+        let _ = tcp.read(&mut buf).await;
+        let _ = tcp.write_all(answer.as_bytes()).await;
+    });
+    (url, task)
+}
+
+// Guards against a failed append that is reported as not written although the log, or a gateway in
+// front of it, may have taken it. A claim on that ground would be forgotten while it holds its key.
+#[gtest]
+#[tokio::test]
+async fn only_a_clear_refusal_means_that_nothing_was_written() {
+    let cases = [
+        ("HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n", false),
+        ("HTTP/1.1 429 x\r\ncontent-length: 0\r\n\r\n", false),
+        ("HTTP/1.1 413 x\r\ncontent-length: 0\r\n\r\n", false),
+        ("HTTP/1.1 408 x\r\ncontent-length: 0\r\n\r\n", true),
+        ("HTTP/1.1 500 x\r\ncontent-length: 0\r\n\r\n", true),
+        ("HTTP/1.1 502 x\r\ncontent-length: 0\r\n\r\n", true),
+        ("HTTP/1.1 504 x\r\ncontent-length: 0\r\n\r\n", true),
+        ("HTTP/1.1 200 x\r\ncontent-length: 0\r\n\r\n", true),
+        (
+            "HTTP/1.1 200 x\r\ncontent-length: 50\r\n\r\n{\"first\"",
+            true,
+        ),
+        ("", true),
+    ];
+    for (answer, may_have_written) in cases {
+        let (url, task) = answer_once(answer).await;
+        let log = HttpLog::new(&url).expect("a client");
+        let failed = log
+            .append("s", records(&["a"]))
+            .await
+            .expect_err("a failure");
+        expect_that!(
+            failed.may_have_written(),
+            eq(may_have_written),
+            "{answer:?}: {failed}"
+        );
+        task.await.expect("the stand-in ends");
+    }
+    let unused = tokio::net::TcpListener::bind(LOOPBACK)
+        .await
+        .expect("a port");
+    let url = format!("http://{}", unused.local_addr().expect("an address"));
+    drop(unused);
+    let log = HttpLog::new(&url).expect("a client");
+    let failed = log
+        .append("s", records(&["a"]))
+        .await
+        .expect_err("a failure");
+    expect_that!(failed.may_have_written(), eq(false), "failed connect");
+}
