Break the connections of a stand-in that stops or crashes

Cause: axum serves each connection in a task of its own. When the server's future was dropped, requests in progress went on and got whole answers, so a crashed target looked like one that drains, and a stopped log kept its long polls. Found by the contract test of TargetServer, which comes with this commit. Ruled out: aborting the server's task (that was the code, and it doesn't reach the connections); a runtime per stand-in, which costs threads for each of hundreds of targets. Changed: a listener whose streams fail once a cancellation token is set, used by TargetServer and LogServer. fakes depends on tokio-util, which is in the workspace.

--- /dev/null
+++ b/crates/fakes/src/conn.rs
@@ -0,0 +1,86 @@
+//! Connections that break when their server stops.
+//!
+//! `axum::serve` runs each connection in a task of its own, which outlives the server's future. A
+//! stand-in that has stopped must not answer on connections that were open before.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use axum::serve::Listener;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
+
+/// A listener whose connections fail once `stop` is cancelled.
+#[derive(Debug)]
+pub(crate) struct StoppingListener {
+    pub(crate) listener: TcpListener,
+    pub(crate) stop: CancellationToken,
+}
+
+impl Listener for StoppingListener {
+    type Io = StoppingStream;
+    type Addr = SocketAddr;
+
+    async fn accept(&mut self) -> (StoppingStream, SocketAddr) {
+        let (tcp, addr) = Listener::accept(&mut self.listener).await;
+        // Without it, delayed acknowledgements would show up in measured latencies.
+        let _ = tcp.set_nodelay(true);
+        let stopped = Box::pin(self.stop.clone().cancelled_owned());
+        (StoppingStream { tcp, stopped }, addr)
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+}
+
+/// A connection of a [`StoppingListener`].
+#[derive(Debug)]
+pub(crate) struct StoppingStream {
+    tcp: TcpStream,
+    stopped: Pin<Box<WaitForCancellationFutureOwned>>,
+}
+
+impl StoppingStream {
+    /// Fails after the stop, and has the task woken by it before.
+    fn check(&mut self, cx: &mut Context<'_>) -> io::Result<&mut TcpStream> {
+        match self.stopped.as_mut().poll(cx) {
+            Poll::Ready(()) => Err(io::ErrorKind::ConnectionReset.into()),
+            Poll::Pending => Ok(&mut self.tcp),
+        }
+    }
+}
+
+impl AsyncRead for StoppingStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let tcp = self.check(cx)?;
+        Pin::new(tcp).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for StoppingStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let tcp = self.check(cx)?;
+        Pin::new(tcp).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let tcp = self.check(cx)?;
+        Pin::new(tcp).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_shutdown(cx)
+    }
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the platform's log and for targets, used by tests and the demo.
 
+mod conn;
 mod log;
 mod target;
 
--- a/crates/fakes/src/log.rs
+++ b/crates/fakes/src/log.rs
@@ -15,8 +15,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 use wire::Offset;
 
+use crate::conn::StoppingListener;
+
 const MAX_WAIT: Duration = Duration::from_secs(30);
 const MAX_BATCH_RECORDS: usize = 1_000;
 
@@ -216,7 +219,7 @@
 pub struct LogServer {
     addr: SocketAddr,
     log: FakeLog,
-    stop: watch::Sender<bool>,
+    stop: CancellationToken,
     task: JoinHandle<()>,
 }
 
@@ -234,7 +237,12 @@
             .route("/faults", post(set_faults))
             .route("/counts", get(counts))
             .with_state(log.clone());
-        let (stop, mut stopped) = watch::channel(false);
+        let stop = CancellationToken::new();
+        let listener = StoppingListener {
+            listener,
+            stop: stop.clone(),
+        };
+        let stopped = stop.clone();
         let task = tokio::spawn(async move {
             tokio::select! {
                 res = async { axum::serve(listener, app).await } => {
@@ -242,7 +250,7 @@
                         ::log::error!("log stand-in stopped: {e}");
                     }
                 }
-                _ = stopped.changed() => {}
+                () = stopped.cancelled() => {}
             }
         });
         Ok(LogServer {
@@ -268,9 +276,9 @@
         &self.log
     }
 
-    /// Closes the listener and joins the server.
+    /// Closes the listener, breaks all connections and joins the server.
     pub async fn stop(self) {
-        let _ = self.stop.send(true);
+        self.stop.cancel();
         let _ = self.task.await;
     }
 }
--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -21,6 +21,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::conn::StoppingListener;
 
 /// Size of a piece of the answer's body.
 const CHUNK_BYTES: usize = 16 * 1024;
@@ -74,7 +77,7 @@
     slots: Semaphore,
     stats: Mutex<TargetStats>,
     slow: Mutex<f64>,
-    stop: watch::Sender<bool>,
+    stop: CancellationToken,
 }
 
 /// A running stand-in target.
@@ -94,13 +97,13 @@
     pub async fn start(addr: SocketAddr, cfg: TargetCfg) -> std::io::Result<TargetServer> {
         let listener = tokio::net::TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
-        let (stop, mut stopped) = watch::channel(false);
+        let stop = CancellationToken::new();
         let shared = Arc::new(Shared {
             slots: Semaphore::new(cfg.slots),
             slow: Mutex::new(cfg.slowness),
             cfg,
             stats: Mutex::default(),
-            stop,
+            stop: stop.clone(),
         });
         let app = Router::new()
             .route("/health", get(health))
@@ -110,15 +113,13 @@
             .fallback(work)
             .with_state(shared.clone());
         let task = tokio::spawn(async move {
-            let listener = axum::serve::ListenerExt::tap_io(listener, |tcp| {
-                let _ = tcp.set_nodelay(true);
-            });
-            // Dropping the server at a crash breaks the connections of requests in progress.
-            let rt = tokio::task::spawn(async move { axum::serve(listener, app).await });
-            let abort = rt.abort_handle();
+            let listener = StoppingListener {
+                listener,
+                stop: stop.clone(),
+            };
             tokio::select! {
-                _ = rt => {}
-                _ = stopped.wait_for(|s| *s) => abort.abort(),
+                _ = async { axum::serve(listener, app).await } => {}
+                () = stop.cancelled() => {}
             }
         });
         Ok(TargetServer { addr, shared, task })
@@ -141,12 +142,12 @@
 
     /// Returns whether the target has crashed or was stopped.
     pub fn is_down(&self) -> bool {
-        *self.shared.stop.borrow()
+        self.shared.stop.is_cancelled()
     }
 
     /// Stops the target and joins it; connections in progress break.
     pub async fn stop(self) -> TargetStats {
-        let _ = self.shared.stop.send(true);
+        self.shared.stop.cancel();
         let _ = self.task.await;
         self.shared.stats.lock().clone()
     }
@@ -204,7 +205,7 @@
         return StatusCode::BAD_REQUEST.into_response();
     };
     if params.crash && shared.cfg.crashes {
-        let _ = shared.stop.send(true);
+        shared.stop.cancel();
         std::future::pending::<()>().await;
     }
     {
@@ -261,7 +262,7 @@
 }
 
 async fn health(State(shared): State<Arc<Shared>>) -> StatusCode {
-    if *shared.stop.borrow() {
+    if shared.stop.is_cancelled() {
         StatusCode::SERVICE_UNAVAILABLE
     } else {
         StatusCode::OK
--- /dev/null
+++ b/crates/fakes/tests/target.rs
@@ -0,0 +1,127 @@
+//! Contract of the stand-in target.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fakes::{TargetCfg, TargetServer};
+use googletest::prelude::*;
+use reqwest::{Client, RequestBuilder, StatusCode};
+
+const LOOPBACK: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+/// A break must come long before this.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+async fn start() -> TargetServer {
+    let cfg = TargetCfg::new("svc", 2);
+    TargetServer::start(LOOPBACK, cfg).await.expect("a port")
+}
+
+fn client() -> Client {
+    let builder = Client::builder().no_proxy().timeout(PATIENCE);
+    builder.build().expect("a client")
+}
+
+fn request(client: &Client, target: &TargetServer, query: &str) -> RequestBuilder {
+    client.post(format!("http://{}/work?{query}", target.addr()))
+}
+
+fn unix_ms() -> u128 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.expect("a clock after 1970").as_millis()
+}
+
+// Guards against a stand-in that runs late requests, which would hide late hand-overs in tests.
+#[gtest]
+#[tokio::test]
+async fn a_request_after_its_deadline_is_refused_and_not_run() {
+    let (target, client) = (start().await, client());
+    let cases = [
+        (unix_ms() - 1_000, StatusCode::GATEWAY_TIMEOUT),
+        (unix_ms() + 60_000, StatusCode::OK),
+    ];
+    for (deadline, status) in cases {
+        let req =
+            request(&client, &target, "").header(wire::DEADLINE_UNIX_MS, deadline.to_string());
+        let res = req.header("idempotency-key", status.as_str()).send().await;
+        expect_that!(res.expect("an answer").status(), eq(status));
+    }
+    let stats = target.stop().await;
+    expect_that!((stats.started, stats.finished, stats.late), eq((1, 1, 1)));
+    expect_that!(stats.runs_by_key.get("504"), none());
+}
+
+// Guards against a crash or a stop after which requests in progress still get answers or hang, and
+// against idle connections that outlive the target.
+#[gtest]
+#[tokio::test]
+async fn a_crash_breaks_all_connections() {
+    for crash in [true, false] {
+        let (target, idle, client) = (start().await, client(), client());
+        let warm = request(&idle, &target, "").send().await;
+        expect_that!(warm.expect("an answer").status(), eq(StatusCode::OK));
+        let (started, url) = (
+            std::time::Instant::now(),
+            format!("http://{}", target.addr()),
+        );
+        let running = tokio::spawn(request(&client, &target, "work_ms=4000").send());
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        if crash {
+            expect_that!(
+                request(&client, &target, "crash=true").send().await,
+                err(anything())
+            );
+            expect_that!(target.is_down(), eq(true));
+        }
+        let stats = target.stop().await;
+        expect_that!(
+            running.await.expect("a task"),
+            err(anything()),
+            "crash: {crash}"
+        );
+        expect_that!(started.elapsed(), lt(PATIENCE / 2), "crash: {crash}");
+        expect_that!(
+            idle.post(&url).send().await,
+            err(anything()),
+            "crash: {crash}"
+        );
+        expect_that!(stats.started, eq(2 + u64::from(crash)));
+        expect_that!(stats.finished, eq(1));
+    }
+}
+
+// Guards against callers that go away unnoticed: cancellation would not be testable.
+#[gtest]
+#[tokio::test]
+async fn a_cancelled_request_is_counted_and_frees_its_slot() {
+    let (target, client) = (start().await, client());
+    for _ in 0..2 {
+        let req = request(&client, &target, "work_ms=4000").timeout(Duration::from_millis(100));
+        expect_that!(req.send().await, err(anything()));
+    }
+    let started = std::time::Instant::now();
+    let next = request(&client, &target, "").send().await;
+    expect_that!(next.expect("an answer").status(), eq(StatusCode::OK));
+    expect_that!(started.elapsed(), lt(PATIENCE / 4));
+    let stats = target.stop().await;
+    expect_that!(
+        (stats.started, stats.cancelled, stats.finished),
+        eq((3, 2, 1))
+    );
+}
+
+// Guards against a count by which a second run of a key goes unseen.
+#[gtest]
+#[tokio::test]
+async fn runs_are_counted_per_key() {
+    let (target, client) = (start().await, client());
+    for key in ["a", "b", "a"] {
+        let req = request(&client, &target, "").header("idempotency-key", key);
+        expect_that!(req.send().await, ok(anything()));
+    }
+    expect_that!(request(&client, &target, "").send().await, ok(anything()));
+    let stats = target.stop().await;
+    let runs = (stats.runs_by_key.get("a"), stats.runs_by_key.get("b"));
+    expect_that!(runs, eq((Some(&2), Some(&1))));
+    expect_that!((stats.started, stats.finished), eq((4, 4)));
+}
