Cut small answers of the target stand-in too

Cause: 'cut' dropped half of the pieces of 16 KB. An answer without 'bytes' was never cut, and one that fits its first line was sent whole before the break, so a receiver saw a complete answer. Changed: a cut answer ends after half of its declared length, whatever that is. Measured: before, the cases bytes=0 and bytes=1 with cut passed as whole answers; after, all five sizes break.

--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -241,19 +241,22 @@
 
 fn answer(path: &str, received: usize, params: &WorkParams) -> Response {
     let head = format!("path={path} received={received}\n");
-    if params.bytes == 0 {
+    if params.bytes == 0 && !params.cut {
         return head.into_response();
     }
     let total = params.bytes.max(head.len());
-    let mut left = total - head.len();
-    let mut pieces = vec![Ok(Bytes::from(head))];
+    let mut left = if params.cut { total / 2 } else { total };
+    let mut pieces = Vec::new();
+    let mut push = |piece: Bytes| pieces.push(Ok(piece));
+    let head = Bytes::from(head);
+    push(head.slice(..left.min(head.len())));
+    left = left.saturating_sub(head.len());
     while left > 0 {
         let n = left.min(CHUNK_BYTES);
-        pieces.push(Ok(Bytes::from(vec![b'x'; n])));
+        push(Bytes::from(vec![b'x'; n]));
         left -= n;
     }
     if params.cut {
-        pieces.truncate(pieces.len().div_ceil(2));
         pieces.push(Err(std::io::Error::other("cut")));
     }
     // The declared length lets a receiver tell a short answer from a whole one.
--- a/crates/fakes/tests/target.rs
+++ b/crates/fakes/tests/target.rs
@@ -51,6 +51,28 @@
     expect_that!(stats.runs_by_key.get("504"), none());
 }
 
+// Guards against a cut answer that a receiver can take for a whole one.
+#[gtest]
+#[tokio::test]
+async fn a_cut_answer_breaks_the_connection() {
+    let (target, client) = (start().await, client());
+    for bytes in [0, 1, 30, 1_000, 100_000] {
+        for (cut, whole) in [("", true), ("&cut=true", false)] {
+            let query = format!("bytes={bytes}{cut}");
+            // The break may come before or after the client has seen the head of the answer.
+            let body = async {
+                request(&client, &target, &query)
+                    .send()
+                    .await?
+                    .bytes()
+                    .await
+            };
+            expect_that!(body.await.is_ok(), eq(whole), "{query}");
+        }
+    }
+    target.stop().await;
+}
+
 // Guards against a crash or a stop after which requests in progress still get answers or hang, and
 // against idle connections that outlive the target.
 #[gtest]
