Check the deadline again when a target's slot is free

Cause: the target stand-in checked the deadline on arrival only. A request that waited for a slot until after its deadline ran, and counted as a run while it still waited, so tests would have blamed the node for a late run. Ruled out: a timer that ends the wait at the deadline; the refusal would come earlier, but no test needs it. Changed: the deadline is checked on arrival and when a slot is free; a run is counted when it has a slot, or when it crashes the target.

--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -168,6 +168,25 @@
     finished: bool,
 }
 
+impl<'a> Running<'a> {
+    /// Counts the start of a run.
+    fn start(shared: &'a Shared, headers: &HeaderMap) -> Running<'a> {
+        let mut stats = shared.stats.lock();
+        stats.started += 1;
+        if let Some(key) = header(headers, "idempotency-key") {
+            *stats.runs_by_key.entry(key).or_default() += 1;
+        }
+        Running {
+            shared,
+            finished: false,
+        }
+    }
+
+    fn finish(mut self) {
+        self.finished = true;
+    }
+}
+
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         let mut stats = self.shared.stats.lock();
@@ -185,42 +204,39 @@
     req: Request,
 ) -> Response {
     if is_late(req.headers()) {
-        shared.stats.lock().late += 1;
-        return StatusCode::GATEWAY_TIMEOUT.into_response();
+        return refuse_late(&shared);
     }
-    let key = header(req.headers(), "idempotency-key");
+    let headers = req.headers().clone();
     let path = req.uri().path().to_owned();
-    let mut running = {
-        let mut stats = shared.stats.lock();
-        stats.started += 1;
-        if let Some(k) = key {
-            *stats.runs_by_key.entry(k).or_default() += 1;
-        }
-        Running {
-            shared: &shared,
-            finished: false,
-        }
-    };
     let Ok(received) = count_body(req.into_body()).await else {
         return StatusCode::BAD_REQUEST.into_response();
     };
     if params.crash && shared.cfg.crashes {
+        let _running = Running::start(&shared, &headers);
         shared.stop.cancel();
         std::future::pending::<()>().await;
     }
-    {
-        let _slot = shared.slots.acquire().await;
-        let base = params
-            .work_ms
-            .map_or(shared.cfg.base_work, Duration::from_millis);
-        let factor = *shared.slow.lock();
-        tokio::time::sleep(base.mul_f64(factor)).await;
+    let slot = shared.slots.acquire().await;
+    // The wait for the slot may have taken the rest of the time.
+    if is_late(&headers) {
+        return refuse_late(&shared);
     }
-    running.finished = true;
-    drop(running);
+    let running = Running::start(&shared, &headers);
+    let base = params
+        .work_ms
+        .map_or(shared.cfg.base_work, Duration::from_millis);
+    let factor = *shared.slow.lock();
+    tokio::time::sleep(base.mul_f64(factor)).await;
+    running.finish();
+    drop(slot);
     answer(&path, received, &params)
 }
 
+fn refuse_late(shared: &Shared) -> Response {
+    shared.stats.lock().late += 1;
+    StatusCode::GATEWAY_TIMEOUT.into_response()
+}
+
 fn is_late(headers: &HeaderMap) -> bool {
     let deadline = header(headers, wire::DEADLINE_UNIX_MS).and_then(|v| v.parse::<u128>().ok());
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
--- a/crates/fakes/tests/target.rs
+++ b/crates/fakes/tests/target.rs
@@ -51,6 +51,31 @@
     expect_that!(stats.runs_by_key.get("504"), none());
 }
 
+// Guards against runs that start after the deadline because they waited for a slot.
+#[gtest]
+#[tokio::test]
+async fn a_deadline_also_counts_while_waiting_for_a_slot() {
+    let (target, client) = (start().await, client());
+    let busy = request(&client, &target, "work_ms=300");
+    let (a, b) = (busy.try_clone().expect("no body"), busy);
+    let late = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let deadline = (unix_ms() + 50).to_string();
+        let req = request(&client, &target, "").header(wire::DEADLINE_UNIX_MS, deadline);
+        req.header("idempotency-key", "k").send().await
+    };
+    let (a, b, late) = tokio::join!(a.send(), b.send(), late);
+    expect_that!(a.expect("an answer").status(), eq(StatusCode::OK));
+    expect_that!(b.expect("an answer").status(), eq(StatusCode::OK));
+    expect_that!(
+        late.expect("an answer").status(),
+        eq(StatusCode::GATEWAY_TIMEOUT)
+    );
+    let stats = target.stop().await;
+    expect_that!((stats.started, stats.late), eq((2, 1)));
+    expect_that!(stats.runs_by_key.get("k"), none());
+}
+
 // Guards against a cut answer that a receiver can take for a whole one.
 #[gtest]
 #[tokio::test]
