--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -21,6 +21,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::conn::StoppingListener;
 
 /// Size of a piece of the answer's body.
 const CHUNK_BYTES: usize = 16 * 1024;
@@ -74,7 +77,7 @@
     slots: Semaphore,
     stats: Mutex<TargetStats>,
     slow: Mutex<f64>,
-    stop: watch::Sender<bool>,
+    stop: CancellationToken,
 }
 
 /// A running stand-in target.
@@ -94,13 +97,13 @@
     pub async fn start(addr: SocketAddr, cfg: TargetCfg) -> std::io::Result<TargetServer> {
         let listener = tokio::net::TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
-        let (stop, mut stopped) = watch::channel(false);
+        let stop = CancellationToken::new();
         let shared = Arc::new(Shared {
             slots: Semaphore::new(cfg.slots),
             slow: Mutex::new(cfg.slowness),
             cfg,
             stats: Mutex::default(),
-            stop,
+            stop: stop.clone(),
         });
         let app = Router::new()
             .route("/health", get(health))
@@ -110,15 +113,13 @@
             .fallback(work)
             .with_state(shared.clone());
         let task = tokio::spawn(async move {
-            let listener = axum::serve::ListenerExt::tap_io(listener, |tcp| {
-                let _ = tcp.set_nodelay(true);
-            });
-            // Dropping the server at a crash breaks the connections of requests in progress.
-            let rt = tokio::task::spawn(async move { axum::serve(listener, app).await });
-            let abort = rt.abort_handle();
+            let listener = StoppingListener {
+                listener,
+                stop: stop.clone(),
+            };
             tokio::select! {
-                _ = rt => {}
-                _ = stopped.wait_for(|s| *s) => abort.abort(),
+                _ = async { axum::serve(listener, app).await } => {}
+                () = stop.cancelled() => {}
             }
         });
         Ok(TargetServer { addr, shared, task })
@@ -141,7 +142,7 @@
 
     /// Returns whether the target has crashed or was stopped.
     pub fn is_down(&self) -> bool {
-        *self.shared.stop.borrow()
+        self.shared.stop.is_cancelled()
     }
 
     /// Waits until the target has crashed or was stopped.
@@ -152,7 +153,7 @@
 
     /// Stops the target and joins it; connections in progress break.
     pub async fn stop(self) -> TargetStats {
-        let _ = self.shared.stop.send(true);
+        self.shared.stop.cancel();
         let _ = self.task.await;
         self.shared.stats.lock().clone()
     }
@@ -173,6 +174,25 @@
     finished: bool,
 }
 
+impl<'a> Running<'a> {
+    /// Counts the start of a run.
+    fn start(shared: &'a Shared, headers: &HeaderMap) -> Running<'a> {
+        let mut stats = shared.stats.lock();
+        stats.started += 1;
+        if let Some(key) = header(headers, "idempotency-key") {
+            *stats.runs_by_key.entry(key).or_default() += 1;
+        }
+        Running {
+            shared,
+            finished: false,
+        }
+    }
+
+    fn finish(mut self) {
+        self.finished = true;
+    }
+}
+
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         let mut stats = self.shared.stats.lock();
@@ -190,42 +210,39 @@
     req: Request,
 ) -> Response {
     if is_late(req.headers()) {
-        shared.stats.lock().late += 1;
-        return StatusCode::GATEWAY_TIMEOUT.into_response();
+        return refuse_late(&shared);
     }
-    let key = header(req.headers(), "idempotency-key");
+    let headers = req.headers().clone();
     let path = req.uri().path().to_owned();
-    let mut running = {
-        let mut stats = shared.stats.lock();
-        stats.started += 1;
-        if let Some(k) = key {
-            *stats.runs_by_key.entry(k).or_default() += 1;
-        }
-        Running {
-            shared: &shared,
-            finished: false,
-        }
-    };
     let Ok(received) = count_body(req.into_body()).await else {
         return StatusCode::BAD_REQUEST.into_response();
     };
     if params.crash && shared.cfg.crashes {
-        let _ = shared.stop.send(true);
+        let _running = Running::start(&shared, &headers);
+        shared.stop.cancel();
         std::future::pending::<()>().await;
     }
-    {
-        let _slot = shared.slots.acquire().await;
-        let base = params
-            .work_ms
-            .map_or(shared.cfg.base_work, Duration::from_millis);
-        let factor = *shared.slow.lock();
-        tokio::time::sleep(base.mul_f64(factor)).await;
+    let slot = shared.slots.acquire().await;
+    // The wait for the slot may have taken the rest of the time.
+    if is_late(&headers) {
+        return refuse_late(&shared);
     }
-    running.finished = true;
-    drop(running);
+    let running = Running::start(&shared, &headers);
+    let base = params
+        .work_ms
+        .map_or(shared.cfg.base_work, Duration::from_millis);
+    let factor = *shared.slow.lock();
+    tokio::time::sleep(base.mul_f64(factor)).await;
+    running.finish();
+    drop(slot);
     answer(&path, received, &params)
 }
 
+fn refuse_late(shared: &Shared) -> Response {
+    shared.stats.lock().late += 1;
+    StatusCode::GATEWAY_TIMEOUT.into_response()
+}
+
 fn is_late(headers: &HeaderMap) -> bool {
     let deadline = header(headers, wire::DEADLINE_UNIX_MS).and_then(|v| v.parse::<u128>().ok());
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
@@ -246,19 +263,22 @@
 
 fn answer(path: &str, received: usize, params: &WorkParams) -> Response {
     let head = format!("path={path} received={received}\n");
-    if params.bytes == 0 {
+    if params.bytes == 0 && !params.cut {
         return head.into_response();
     }
     let total = params.bytes.max(head.len());
-    let mut left = total - head.len();
-    let mut pieces = vec![Ok(Bytes::from(head))];
+    let mut left = if params.cut { total / 2 } else { total };
+    let mut pieces = Vec::new();
+    let mut push = |piece: Bytes| pieces.push(Ok(piece));
+    let head = Bytes::from(head);
+    push(head.slice(..left.min(head.len())));
+    left = left.saturating_sub(head.len());
     while left > 0 {
         let n = left.min(CHUNK_BYTES);
-        pieces.push(Ok(Bytes::from(vec![b'x'; n])));
+        push(Bytes::from(vec![b'x'; n]));
         left -= n;
     }
     if params.cut {
-        pieces.truncate(pieces.len().div_ceil(2));
         pieces.push(Err(std::io::Error::other("cut")));
     }
     // The declared length lets a receiver tell a short answer from a whole one.
@@ -267,7 +287,7 @@
 }
 
 async fn health(State(shared): State<Arc<Shared>>) -> StatusCode {
-    if *shared.stop.borrow() {
+    if shared.stop.is_cancelled() {
         StatusCode::SERVICE_UNAVAILABLE
     } else {
         StatusCode::OK
