Send a suspect instance at least one request per 50 ms

Cause: a node that rarely uses an instance sees one late request and then nothing for a long time, so it needed up to a second to eject it.

--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -19,6 +19,11 @@
 const REFRESH: Duration = Duration::from_millis(5);
 /// How long a refusal for lack of room keeps requests away.
 const BUSY: Duration = Duration::from_millis(50);
+/// Share of the threshold from which on an instance is a suspect: one late request.
+const SUSPECT_SHARE: f64 = 0.25;
+/// Longest time without a request to a suspect. A node that rarely uses an instance would
+/// otherwise be slow to find out whether it is slowed.
+const SUSPECT_WAIT: Duration = Duration::from_millis(50);
 /// Times that one request can be found late.
 const MAX_LATENESS: u32 = 3;
 /// How long a refusal for draining keeps requests away; membership reports it within this time.
@@ -123,6 +128,8 @@
     usable: Vec<PeerKey>,
     locals: usize,
     ejected: Vec<PeerKey>,
+    /// Usable instances with some suspicion.
+    suspects: Vec<PeerKey>,
     spill: Spill,
     refresh_at: Time,
     stats: PickerStats,
@@ -142,6 +149,7 @@
             usable: Vec::new(),
             locals: 0,
             ejected: Vec::new(),
+            suspects: Vec::new(),
             spill: Spill::default(),
             refresh_at: Time::ZERO,
             stats: PickerStats::default(),
@@ -229,6 +237,7 @@
         let mut limit = None;
         if let Some(peer) = self.peers.get_mut(key) {
             peer.in_flight += 1;
+            peer.last_begun = now;
             limit = self.judge.limit(&self.cfg.outlier, route, peer.speed);
         }
         let due = limit.map(|limit| now + limit);
@@ -461,6 +470,7 @@
         self.refresh_at = now + REFRESH;
         self.usable.clear();
         self.ejected.clear();
+        self.suspects.clear();
         for local in [true, false] {
             // The order of ids makes equal inputs give equal choices.
             for &key in self.by_id.values() {
@@ -469,7 +479,12 @@
                     continue;
                 }
                 match peer.ejection {
-                    None => self.usable.push(key),
+                    None => {
+                        self.usable.push(key);
+                        if peer.suspicion >= self.cfg.outlier.threshold * SUSPECT_SHARE {
+                            self.suspects.push(key);
+                        }
+                    }
                     Some(_) => self.ejected.push(key),
                 }
             }
@@ -497,6 +512,14 @@
         if ask.hedge {
             return None;
         }
+        for key in &self.suspects {
+            let peer = &self.peers[*key];
+            let due = peer.ejection.is_none() && now >= peer.last_begun + SUSPECT_WAIT;
+            if due && !ask.exclude.contains(&peer.id) {
+                self.stats.probes += 1;
+                return Some(peer.id);
+            }
+        }
         for key in &self.ejected {
             let peer = &mut self.peers[*key];
             let id = peer.id;
