Admit no more queued long work than can start in time

A trace showed that each archive pull that ended after its deadline had arrived in the first 0.5 s, before any pull had ended: the queue filled up by an assumed length of eight short runs. Until a long run has ended, one request now waits for each long slot and half of its time is left for the run. After that the places of the queue are those that start in time, and a caller may hold as many of these as are free.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -271,6 +271,14 @@
         }
     }
 
+    fn queue_len(&self, long: bool) -> usize {
+        if long {
+            self.long.len()
+        } else {
+            self.short.len()
+        }
+    }
+
     /// Returns whether the request counts as long, and whether it is a probe.
     fn classify(&self, offer: &Offer) -> (bool, bool) {
         match self.classes.class(offer) {
@@ -284,7 +292,12 @@
     fn request(&self, offer: &Offer, long: bool, probe: bool, bucket: u64) -> Request {
         let typical = self.classes.typical(long);
         let left = offer.deadline - self.now;
-        let margin = (typical * START_MARGIN).min(left / 2);
+        // Half of the time is left for a run of unknown length.
+        let margin = if self.classes.is_known(long) {
+            (typical * START_MARGIN).min(left / 2)
+        } else {
+            left / 2
+        };
         Request {
             offer: *offer,
             long,
@@ -328,63 +341,84 @@
 
     /// Decides whether a request may wait; may refuse an older one of the same caller for it.
     fn check_queue(&mut self, request: &Request) -> Result<(), Code> {
-        let free = (self.limits.queue as usize).saturating_sub(self.short.len() + self.long.len());
+        let bounded_wait = !request.long && self.newest_first();
+        let places = self.free_places(request.long);
+        let in_time = if bounded_wait {
+            usize::MAX
+        } else {
+            self.places_in_time(request)
+        };
         let queue = if request.long {
             &self.long
         } else {
             &self.short
         };
-        // Long work leaves half of the queue to short work.
-        let free = if request.long {
-            free.min((self.limits.queue as usize / 2).saturating_sub(queue.len()))
-        } else {
-            free
-        };
         let (own, oldest) = queue.of_caller(request.bucket);
         // A caller may hold as many places as are free, so a further caller always finds some.
-        if own >= free {
-            let code = if free == 0 {
-                Code::QueueFull
-            } else {
-                Code::OverFairShare
-            };
-            let oldest = oldest.filter(|_| !request.long && self.newest_first());
-            let Some(oldest) = oldest else {
-                return Err(code);
-            };
-            let refusal = self.refuse_waiting(code, false);
-            self.refuse(oldest, refusal);
+        if own < places.min(in_time) {
             return Ok(());
         }
-        let bounded_wait = !request.long && self.newest_first();
-        if !bounded_wait && self.now + self.expected_wait(request.long, own) > request.start_by {
-            return Err(Code::CannotStartInTime);
-        }
+        let code = if in_time == 0 {
+            Code::CannotStartInTime
+        } else if places == 0 {
+            Code::QueueFull
+        } else {
+            Code::OverFairShare
+        };
+        let Some(oldest) = oldest.filter(|_| bounded_wait) else {
+            return Err(code);
+        };
+        let refusal = self.refuse_waiting(code, false);
+        self.refuse(oldest, refusal);
         Ok(())
     }
 
-    fn newest_first(&self) -> bool {
-        self.tuning.newest_first && self.sojourn.is_overloaded()
+    /// Returns how many more requests of a class may wait.
+    fn free_places(&self, long: bool) -> usize {
+        let all = self.limits.queue as usize;
+        let free = all.saturating_sub(self.short.len() + self.long.len());
+        if long {
+            // Long work leaves half of the queue to short work.
+            free.min((all / 2).saturating_sub(self.long.len()))
+        } else {
+            free
+        }
     }
 
-    /// Estimates the wait of a caller's next request behind `own` waiting ones.
-    fn expected_wait(&self, long: bool, own: usize) -> Duration {
-        let queue = if long { &self.long } else { &self.short };
+    /// Returns how many more requests with this one's deadline would start in time.
+    fn places_in_time(&self, request: &Request) -> usize {
+        let slots = self.class_slots(request.long);
+        let starts = if self.classes.is_known(request.long) {
+            let left = (request.start_by - self.now).as_secs_f64();
+            let typical = self.classes.typical(request.long).as_secs_f64();
+            (left / typical.max(1e-6) * f64::from(slots)) as usize
+        } else {
+            // Until the length is known, one waits for each slot.
+            slots as usize
+        };
+        starts.saturating_sub(self.queue_len(request.long))
+    }
+
+    /// Returns how many slots a class can use.
+    fn class_slots(&self, long: bool) -> u32 {
         let limit = self.concurrency.limit(self.now);
         let slots = if long {
             self.demand.long_limit(self.now, limit)
         } else {
             limit.saturating_sub(self.running_long)
         };
-        // With fair shares each active caller starts one request per round.
-        let ahead = queue.len().min((own + 1) * queue.active().max(1)) + 1;
-        let typical = self.classes.typical(long);
-        typical.mul_f64(ahead as f64 / f64::from(slots.max(1)))
+        slots.max(1)
+    }
+
+    fn newest_first(&self) -> bool {
+        self.tuning.newest_first && self.sojourn.is_overloaded()
     }
 
     /// Makes a refusal that asks the caller to wait until the queue has been served.
     fn refuse_waiting(&self, code: Code, long: bool) -> Refusal {
-        let wait = self.expected_wait(long, self.limits.queue as usize);
+        let waiting = self.queue_len(long) + 1;
+        let rounds = waiting as f64 / f64::from(self.class_slots(long));
+        let wait = self.classes.typical(long).mul_f64(rounds);
         refusal(code, wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
     }
 
--- a/crates/admit/src/classes.rs
+++ b/crates/admit/src/classes.rs
@@ -212,6 +212,11 @@
         Duration::from_micros(us as u64)
     }
 
+    /// Returns whether the service time of short or long work has been seen.
+    pub(crate) fn is_known(&self, long: bool) -> bool {
+        !long || self.long_us.is_some()
+    }
+
     /// Learns that work of this kind is long, from a run that isn't over yet.
     pub(crate) fn overtime(&mut self, offer: &Offer, ran: Duration, probe: bool) {
         if offer.class == Class::Auto {
--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -44,11 +44,6 @@
         self.arrivals.is_empty()
     }
 
-    /// Returns the number of callers with waiting requests.
-    pub(crate) fn active(&self) -> usize {
-        self.ready.len()
-    }
-
     /// Returns the request that has waited longest.
     pub(crate) fn oldest(&self) -> Option<Key> {
         self.arrivals.first_key_value().map(|(_, k)| *k)
