--- a/crates/bench/src/head_of_line.rs
+++ b/crates/bench/src/head_of_line.rs
@@ -160,7 +160,6 @@
         mean: LOOKUP * ARCHIVE_LENGTH,
         spread: Spread::Narrow,
         deadline: ARCHIVE_DEADLINE,
-        retry: false,
         ..lookups.clone()
     };
     if variant == Variant::OneCaller {
--- a/crates/bench/src/queue_load.rs
+++ b/crates/bench/src/queue_load.rs
@@ -66,8 +66,6 @@
     pub(crate) mean: Duration,
     pub(crate) spread: Spread,
     pub(crate) deadline: Duration,
-    /// Whether a refused request may be sent again.
-    pub(crate) retry: bool,
     /// Relative demand of each caller.
     pub(crate) callers: Vec<f64>,
 }
--- a/crates/bench/src/queue_model.rs
+++ b/crates/bench/src/queue_model.rs
@@ -458,7 +458,6 @@
             return self.call(now, request);
         }
         let retry = end == End::Refused
-            && self.sources[r.kind].kind.retry
             && r.tries < MAX_ATTEMPTS
             && now - r.arrived < RETRY_WITHIN + HOP * 10 * hop as u32
             && e.retries >= 1.0;
--- a/crates/bench/src/queue_sizes.rs
+++ b/crates/bench/src/queue_sizes.rs
@@ -78,7 +78,6 @@
         mean: LOOKUP,
         spread: Spread::Tailed,
         deadline: SHORT_DEADLINE,
-        retry: true,
         callers: vec![1.0; CALLERS],
     }
 }
