Leave more of the long queue to further callers

A caller's queued long work now needs two free places for each one held. With one, the caller that sends most held half of the six places that start in time at a slow target.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -17,6 +17,9 @@
 /// A request is refused when less than this many times its usual service time is left before its
 /// deadline, since it could start but hardly end in time.
 const START_MARGIN: u32 = 2;
+/// Places that must be free for each one that a caller's long work holds. With one, a caller alone
+/// takes half of the few places that start in time, which leaves too few to seven others.
+const LONG_FREE_PER_OWN: usize = 2;
 /// How often the limits of classes are computed again while work waits beside a free slot.
 const RECHECK: Duration = Duration::from_millis(10);
 /// Bounds of `retry_after`.
@@ -354,8 +357,10 @@
             &self.short
         };
         let (own, oldest) = queue.of_caller(request.bucket);
-        // A caller may hold as many places as are free, so a further caller always finds some.
-        if own < places.min(in_time) {
+        // A caller's part of the queue depends on what is free, so a further caller always finds
+        // some place.
+        let per_own = if request.long { LONG_FREE_PER_OWN } else { 1 };
+        if own * per_own < places.min(in_time) {
             return Ok(());
         }
         let code = if in_time == 0 {
