--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -147,8 +147,7 @@
 
     /// Waits until the target has crashed or was stopped.
     pub async fn wait_down(&self) {
-        let mut stopped = self.shared.stop.subscribe();
-        let _ = stopped.wait_for(|s| *s).await;
+        self.shared.stop.cancelled().await;
     }
 
     /// Stops the target and joins it; connections in progress break.
