Test that a late claim of an earlier life is not taken for an own one

Cause: a trial with the boot left out of the comparison of claim identifiers passed all tests, because the simulation rarely has both lives at the same number at once. Measured: with the comparison disabled (trial), the new test runs request 2 on the record of another life; with it, the test passes.

--- a/crates/claim/tests/shard.rs
+++ b/crates/claim/tests/shard.rs
@@ -230,6 +230,22 @@
     }
 }
 
+// Guards against a claim of an earlier life, landing late, that decides for a claim of this one.
+#[gtest]
+fn a_claim_of_an_earlier_life_is_not_an_own_one() {
+    let mut old = Bench::new(node(1));
+    old.ask(1, "k", 1, 100);
+    old.pass(1);
+    let mut b = Bench::new(Cfg::new(InstanceId(1), Boot(2)));
+    b.ask(2, "l", 1, 100);
+    b.pass(1);
+    b.log = old.fail_append(true);
+    b.read_all();
+    expect_that!(b.look(), eq(&strings(&[])));
+    b.answer_append();
+    expect_that!(b.look(), eq(&strings(&["run 2"])));
+}
+
 // Guards against a release for a claim that can't be in the stream: it would cost an append.
 #[gtest]
 fn a_claim_that_was_not_written_needs_no_release() {
