Add issued keys and one interface for both kinds of keys

Cause: a key that names the process which runs it needs neither the log nor a clock, so such requests go on during an outage. Ruled out: an exact set of used numbers without a limit; a second number range for old unused keys. A bit for each of the last 131,072 numbers tells an unused key (404) from a used one whose outcome was dropped (403), in 16 KB; older numbers get 403, since 404 would claim too much. Changed: Issuer, IssuedKey, and Claims, which routes events to the issuer or to the shard of the key. A damaged issued key is refused with 106 and never becomes a caller-generated one. The example 'cost' measures on a virtual clock.

--- /dev/null
+++ b/crates/claim/examples/cost.rs
@@ -0,0 +1,290 @@
+//! Cost of log claims on a virtual clock: appends, added latency, bytes and memory.
+//!
+//! Run with `cargo run --release -p claim --example cost`. Claims arrive at random (Poisson, fixed
+//! seed); each run takes 1 ms and leaves an answer of 64 bytes. The memory figures are resident
+//! memory of this process and need Linux; all others depend on the seed only.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::error::Error;
+use std::time::Duration;
+
+use claim::{
+    Action, Ask, Boot, Cfg, Claim, ClaimId, Done, Event, Fold, Key, Now, Outcome, Record, ReqId,
+    Shard,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use wire::{Fingerprint, InstanceId, Offset, Time, UnixMillis};
+
+const SEED: u64 = 1;
+const START_MS: u64 = 1_800_000_000_000;
+const RATES_PER_S: [u64; 3] = [100, 1_000, 10_000];
+const APPEND_MS: [u64; 3] = [2, 5, 20];
+const LENGTH_US: u64 = 5_000_000;
+const RUN_US: u64 = 1_000;
+const DEADLINE: Duration = Duration::from_secs(2);
+const ANSWER_BYTES: usize = 64;
+const MEMORY_KEYS: u64 = 200_000;
+const PAGE_BYTES: u64 = 4_096;
+
+/// Counts of one run.
+#[derive(Default)]
+struct Cost {
+    claims: u64,
+    refused: u64,
+    appends: u64,
+    records: u64,
+    bytes: u64,
+    latencies_us: Vec<u64>,
+}
+
+struct Sim {
+    shard: Shard,
+    now_us: u64,
+    append_us: u64,
+    end: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    seq: u64,
+    asked: VecDeque<u64>,
+    cost: Cost,
+}
+
+fn now(us: u64) -> Now {
+    Now {
+        time: Time::from_micros(us),
+        at: UnixMillis(START_MS + us / 1_000),
+    }
+}
+
+impl Sim {
+    fn new(append_ms: u64) -> Sim {
+        let cfg = Cfg {
+            max_keys: 1_000_000,
+            ..Cfg::new(InstanceId(1), Boot(1))
+        };
+        let mut shard = Shard::new(cfg, SEED);
+        shard.handle(now(0), Event::End { end: Offset(0) });
+        Sim {
+            shard,
+            now_us: 0,
+            append_us: append_ms * 1_000,
+            end: 0,
+            events: BTreeMap::new(),
+            seq: 0,
+            asked: VecDeque::new(),
+            cost: Cost::default(),
+        }
+    }
+
+    fn schedule(&mut self, delay_us: u64, event: Event) {
+        self.seq += 1;
+        self.events
+            .insert((self.now_us + delay_us, self.seq), event);
+    }
+
+    fn ask(&mut self, key: u128) -> Result<(), Box<dyn Error>> {
+        let req = ReqId(self.cost.claims);
+        self.cost.claims += 1;
+        self.asked.push_back(self.now_us);
+        let ask = Ask {
+            req,
+            key: Key::try_from(uuid(key).as_str())?,
+            request: Fingerprint(1),
+            deadline: Time::from_micros(self.now_us) + DEADLINE,
+        };
+        self.act(Event::Ask(ask));
+        Ok(())
+    }
+
+    /// Handles all that is due until `until_us`.
+    fn advance(&mut self, until_us: u64) {
+        loop {
+            let event = self.events.keys().next().map(|(t, _)| *t);
+            let wake = self.shard.next_wake().map(Time::as_micros);
+            let Some(at) = event
+                .into_iter()
+                .chain(wake)
+                .min()
+                .filter(|t| *t <= until_us)
+            else {
+                break;
+            };
+            self.now_us = self.now_us.max(at);
+            let due = self.events.first_entry().filter(|e| e.key().0 <= at);
+            let event = due.map_or(Event::Tick, |e| e.remove());
+            self.act(event);
+        }
+        self.now_us = until_us;
+    }
+
+    fn act(&mut self, event: Event) {
+        for action in self.shard.handle(now(self.now_us), event) {
+            match action {
+                Action::Append { batch, records } => self.append(batch, &records),
+                Action::Run(req) => self.run(req),
+                Action::Answer { .. } | Action::Refuse { .. } => self.cost.refused += 1,
+            }
+        }
+    }
+
+    fn append(&mut self, batch: u64, records: &[Vec<u8>]) {
+        let first = Offset(self.end);
+        self.end += records.len() as u64;
+        self.cost.appends += 1;
+        self.cost.records += records.len() as u64;
+        self.cost.bytes += records.iter().map(|r| r.len() as u64).sum::<u64>();
+        self.schedule(self.append_us, Event::Appended { batch, first });
+    }
+
+    fn run(&mut self, req: ReqId) {
+        let asked = usize::try_from(req.0).ok().and_then(|i| self.asked.get(i));
+        if let Some(asked) = asked {
+            self.cost.latencies_us.push(self.now_us - asked);
+        }
+        self.schedule(0, Event::Handed(req));
+        let finished = Event::Finished {
+            req,
+            status: 200,
+            answer: vec![0; ANSWER_BYTES],
+        };
+        self.schedule(RUN_US, finished);
+    }
+}
+
+fn uuid(n: u128) -> String {
+    let h = format!("{n:032x}");
+    format!(
+        "{}-{}-{}-{}-{}",
+        &h[..8],
+        &h[8..12],
+        &h[12..16],
+        &h[16..20],
+        &h[20..]
+    )
+}
+
+fn measure(rate: u64, append_ms: u64) -> Result<Cost, Box<dyn Error>> {
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut sim = Sim::new(append_ms);
+    let mut at = 0.0;
+    loop {
+        // The gap between two arrivals of a Poisson process.
+        at += -(1.0 - rng.random::<f64>()).ln() * 1e6 / rate as f64;
+        if at >= LENGTH_US as f64 {
+            break;
+        }
+        sim.advance(at as u64);
+        // Version 4, so that the time inside the key plays no part.
+        let key = rng.random::<u128>() & !(0xf << 76) | 4 << 76;
+        sim.ask(key)?;
+    }
+    sim.advance(LENGTH_US + 1_000_000);
+    sim.cost.latencies_us.sort_unstable();
+    Ok(sim.cost)
+}
+
+fn quantile_ms(sorted_us: &[u64], q: f64) -> f64 {
+    let last = sorted_us.len().saturating_sub(1);
+    let at = (last as f64 * q).round() as usize;
+    sorted_us.get(at).copied().unwrap_or(0) as f64 / 1e3
+}
+
+fn claim(n: u64, node: InstanceId) -> Result<Claim, Box<dyn Error>> {
+    let spread = u128::from(n).wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835);
+    Ok(Claim {
+        key: Key::try_from(uuid(spread & !(0xf << 76) | 4 << 76).as_str())?,
+        request: Fingerprint(u64::MAX),
+        id: ClaimId {
+            node,
+            boot: Boot(START_MS),
+            n,
+        },
+        at: UnixMillis(START_MS),
+        ttl_ms: 2_000,
+        keep_s: 86_400,
+    })
+}
+
+fn resident_bytes() -> Option<u64> {
+    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = text.split_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * PAGE_BYTES)
+}
+
+/// Fills a fold and returns it with the resident bytes per key. Folds that were measured before
+/// must still live, or their memory is used again and the figure is too low.
+fn memory(answer: Option<usize>) -> Result<(Fold, Option<u64>), Box<dyn Error>> {
+    let before = resident_bytes();
+    let mut fold = Fold::new();
+    for n in 0..MEMORY_KEYS {
+        let c = claim(n, InstanceId::of("node"))?;
+        let done = answer.map(|bytes| Done {
+            key: c.key.clone(),
+            id: c.id,
+            at: c.at,
+            outcome: Outcome::of(200, vec![0; bytes]),
+        });
+        fold.apply(&Record::Claim(c).encode());
+        if let Some(done) = done {
+            fold.apply(&Record::Done(done).encode());
+        }
+    }
+    let after = resident_bytes();
+    let used = before.zip(after);
+    let used = used.map(|(b, a)| a.saturating_sub(b) / fold.len() as u64);
+    Ok((fold, used))
+}
+
+fn print_memory() -> Result<(), Box<dyn Error>> {
+    let cases = [
+        ("held", None),
+        ("answer not kept", Some(5_000)),
+        ("answer of 16 bytes", Some(16)),
+    ];
+    let mut folds = Vec::new();
+    for (name, answer) in cases {
+        let (fold, bytes) = memory(answer)?;
+        folds.push(fold);
+        let bytes = bytes.map_or("not measured".to_owned(), |b| b.to_string());
+        println!("resident bytes per key, {name}, {MEMORY_KEYS} keys: {bytes}");
+    }
+    Ok(())
+}
+
+fn print_records() -> Result<(), Box<dyn Error>> {
+    let c = claim(1_000_000, InstanceId::of("node"))?;
+    let done = Done {
+        key: c.key.clone(),
+        id: c.id,
+        at: c.at,
+        outcome: Outcome::of(200, vec![0; ANSWER_BYTES]),
+    };
+    let claim = Record::Claim(c).encode().len();
+    let done = Record::Done(done).encode().len();
+    println!("claim record with a UUID key: {claim} bytes");
+    println!("outcome record with an answer of {ANSWER_BYTES} bytes: {done} bytes");
+    Ok(())
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    print_memory()?;
+    print_records()?;
+    println!(
+        "rate/s  append ms  appends/claim  appends/s  records/append  p50 ms  p99 ms  refused"
+    );
+    for rate in RATES_PER_S {
+        for append_ms in APPEND_MS {
+            let c = measure(rate, append_ms)?;
+            println!(
+                "{rate:6} {append_ms:10} {:14.3} {:10.0} {:15.1} {:7.2} {:7.2} {:8}",
+                c.appends as f64 / c.claims as f64,
+                c.appends as f64 / (LENGTH_US as f64 / 1e6),
+                c.records as f64 / c.appends as f64,
+                quantile_ms(&c.latencies_us, 0.5),
+                quantile_ms(&c.latencies_us, 0.99),
+                c.refused,
+            );
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/claim/src/claims.rs
@@ -0,0 +1,245 @@
+//! One interface for both kinds of keys of one service on one node.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use wire::{Code, Fingerprint, Time};
+
+use crate::issued::{Admitted, IssuedKey, Issuer, PREFIX};
+use crate::record::Outcome;
+use crate::shard::{Action, Ask, Event, Now, ReqId, Shard};
+use crate::{Answer, Key};
+
+/// Input of [`Claims`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimEvent {
+    /// A request wants to run.
+    Ask {
+        /// The request.
+        req: ReqId,
+        /// Value of the `idempotency-key` header.
+        key: String,
+        /// Hash over what makes the request the same as another one.
+        request: Fingerprint,
+        /// Deadline of the request.
+        deadline: Time,
+    },
+    /// Something happened in the stream of a shard; not for events about a request.
+    Stream(usize, Event),
+    /// The request is about to be handed to the target.
+    Handed(ReqId),
+    /// The run ended with this answer.
+    Finished {
+        /// The request.
+        req: ReqId,
+        /// HTTP status of the answer.
+        status: u16,
+        /// The answer to keep.
+        answer: Vec<u8>,
+    },
+    /// The run ended without an answer from the target.
+    Lost(ReqId),
+    /// The caller went away, or the node refused the request, before the hand-over.
+    Dropped(ReqId),
+    /// Time has passed.
+    Tick,
+}
+
+/// Output of [`Claims`]: an action with the number of the shard it is for. The shard matters only
+/// for [`Action::Append`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClaimsAction {
+    /// Number of the shard; 0 for issued keys.
+    pub shard: usize,
+    /// What to do.
+    pub action: Action,
+}
+
+/// Who decides about a request that is not settled.
+#[derive(Clone, Copy, Debug)]
+enum Owner {
+    Shard(usize),
+    Issued(u64),
+}
+
+/// The claims of one service on one node.
+#[derive(Debug)]
+pub struct Claims {
+    shards: Vec<Shard>,
+    issuer: Issuer,
+    owners: BTreeMap<ReqId, Owner>,
+    handed: BTreeSet<ReqId>,
+}
+
+impl Claims {
+    /// Joins the shards, in the order of their numbers, and the issuer.
+    pub fn new(shards: Vec<Shard>, issuer: Issuer) -> Claims {
+        Claims {
+            shards,
+            issuer,
+            owners: BTreeMap::new(),
+            handed: BTreeSet::new(),
+        }
+    }
+
+    /// Returns the shards in the order of their numbers.
+    pub fn shards(&self) -> &[Shard] {
+        &self.shards
+    }
+
+    /// Returns the issuer, to issue keys.
+    pub fn issuer(&mut self) -> &mut Issuer {
+        &mut self.issuer
+    }
+
+    /// Returns when [`ClaimEvent::Tick`] is due.
+    pub fn next_wake(&self) -> Option<Time> {
+        self.shards.iter().filter_map(Shard::next_wake).min()
+    }
+
+    /// Takes an event and returns what to do.
+    pub fn handle(&mut self, now: Now, event: ClaimEvent) -> Vec<ClaimsAction> {
+        match event {
+            ClaimEvent::Ask {
+                req,
+                key,
+                request,
+                deadline,
+            } => self.ask(now, req, &key, request, deadline),
+            ClaimEvent::Stream(shard, event) => self.shard(now, shard, event),
+            ClaimEvent::Handed(req) => self.handed(now, req),
+            ClaimEvent::Finished {
+                req,
+                status,
+                answer,
+            } => self.ended(now, req, Some((status, answer))),
+            ClaimEvent::Lost(req) => self.ended(now, req, None),
+            ClaimEvent::Dropped(req) => self.dropped(now, req),
+            ClaimEvent::Tick => (0..self.shards.len())
+                .flat_map(|i| self.shard(now, i, Event::Tick))
+                .collect(),
+        }
+    }
+
+    fn ask(
+        &mut self,
+        now: Now,
+        req: ReqId,
+        key: &str,
+        request: Fingerprint,
+        deadline: Time,
+    ) -> Vec<ClaimsAction> {
+        if let Ok(key) = key.parse::<IssuedKey>() {
+            return vec![issued(self.admit(req, &key, request))];
+        }
+        // A damaged issued key must not become a caller-generated one: that would be a second way
+        // to run the same request.
+        let is_issued = key.split('.').next() == Some(PREFIX);
+        let Some(key) = Key::try_from(key).ok().filter(|_| !is_issued) else {
+            return vec![issued(refusal(req, Code::BadHeader))];
+        };
+        if self.shards.is_empty() {
+            return vec![issued(refusal(req, Code::ClaimUnavailable))];
+        }
+        let shard = key.shard(self.shards.len());
+        self.owners.insert(req, Owner::Shard(shard));
+        let ask = Ask {
+            req,
+            key,
+            request,
+            deadline,
+        };
+        self.shard(now, shard, Event::Ask(ask))
+    }
+
+    fn admit(&mut self, req: ReqId, key: &IssuedKey, request: Fingerprint) -> Action {
+        match self.issuer.admit(key, request) {
+            Admitted::Run => {
+                self.owners.insert(req, Owner::Issued(key.n));
+                Action::Run(req)
+            }
+            Admitted::Answer(answer) => self::answer(req, answer),
+            Admitted::Refuse(code) => refusal(req, code),
+        }
+    }
+
+    /// Passes an event to a shard and forgets the requests that it settles.
+    fn shard(&mut self, now: Now, shard: usize, event: Event) -> Vec<ClaimsAction> {
+        let Some(machine) = self.shards.get_mut(shard) else {
+            return Vec::new();
+        };
+        let actions = machine.handle(now, event);
+        for action in &actions {
+            if let Action::Answer { req, .. } | Action::Refuse { req, .. } = action {
+                self.owners.remove(req);
+            }
+        }
+        let wrap = |action| ClaimsAction { shard, action };
+        actions.into_iter().map(wrap).collect()
+    }
+
+    fn handed(&mut self, now: Now, req: ReqId) -> Vec<ClaimsAction> {
+        let Some(owner) = self.owners.get(&req).copied() else {
+            return Vec::new();
+        };
+        self.handed.insert(req);
+        match owner {
+            Owner::Shard(i) => self.shard(now, i, Event::Handed(req)),
+            Owner::Issued(n) => {
+                self.issuer.handed(n);
+                Vec::new()
+            }
+        }
+    }
+
+    fn ended(&mut self, now: Now, req: ReqId, end: Option<(u16, Vec<u8>)>) -> Vec<ClaimsAction> {
+        if !self.handed.remove(&req) {
+            return Vec::new();
+        }
+        match (self.owners.remove(&req), end) {
+            (Some(Owner::Shard(i)), Some((status, answer))) => {
+                let event = Event::Finished {
+                    req,
+                    status,
+                    answer,
+                };
+                self.shard(now, i, event)
+            }
+            (Some(Owner::Shard(i)), None) => self.shard(now, i, Event::Lost(req)),
+            (Some(Owner::Issued(n)), end) => {
+                let outcome = end.map_or(Outcome::Unknown, |(s, a)| Outcome::of(s, a));
+                self.issuer.finished(n, outcome);
+                Vec::new()
+            }
+            (None, _) => Vec::new(),
+        }
+    }
+
+    fn dropped(&mut self, now: Now, req: ReqId) -> Vec<ClaimsAction> {
+        if self.handed.contains(&req) {
+            return Vec::new();
+        }
+        match self.owners.remove(&req) {
+            Some(Owner::Shard(i)) => self.shard(now, i, Event::Dropped(req)),
+            Some(Owner::Issued(n)) => {
+                self.issuer.dropped(n);
+                Vec::new()
+            }
+            None => Vec::new(),
+        }
+    }
+}
+
+fn issued(action: Action) -> ClaimsAction {
+    ClaimsAction { shard: 0, action }
+}
+
+fn answer(req: ReqId, answer: Answer) -> Action {
+    Action::Answer { req, answer }
+}
+
+fn refusal(req: ReqId, code: Code) -> Action {
+    Action::Refuse {
+        req,
+        refusal: code.into(),
+    }
+}
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -1,18 +1,26 @@
 //! At-most-once execution of requests that must not be repeated.
 //!
-//! A caller-generated key is claimed in a stream of the log. The claim with the lowest offset holds
-//! the key ([`Fold`]); [`Shard`] is the state machine of one stream on one node.
+//! Two kinds of keys share one interface, [`Claims`]:
+//!
+//! - A caller-generated key is claimed in a stream of the log. The claim with the lowest offset
+//!   holds the key ([`Fold`]); [`Shard`] is the state machine of one stream on one node.
+//! - An issued key names the process that runs it. [`Issuer`] keeps its outcome in memory, so
+//!   neither the log nor a clock is needed.
 //!
 //! Wall clocks of the nodes must agree within [`MAX_SKEW`]. A wrong clock can make a key expire
 //! early; pauses, lost answers, late appends and restarts can't.
 
+mod claims;
 mod fold;
+mod issued;
 mod key;
 mod outbox;
 mod record;
 mod shard;
 
+pub use claims::{ClaimEvent, Claims, ClaimsAction};
 pub use fold::{Applied, Entry, Fold};
+pub use issued::{Admitted, IssuedKey, Issuer, MAX_BLOCK, OUTCOME_WINDOW, PREFIX, USED_WINDOW};
 pub use key::{Key, KeyError, MAX_KEY_BYTES};
 pub use record::{
     Answer, Boot, Checkpoint, Claim, ClaimId, Done, FORMAT, MAX_ANSWER_BYTES, Outcome, Record,
--- /dev/null
+++ b/crates/claim/tests/claims.rs
@@ -0,0 +1,192 @@
+//! Issued keys, and the interface that joins them with caller-generated ones.
+
+use claim::{
+    Action, Admitted, Boot, Cfg, ClaimEvent, Claims, Event, IssuedKey, Issuer, Key, MAX_BLOCK, Now,
+    OUTCOME_WINDOW, Outcome, ReqId, Shard, USED_WINDOW,
+};
+use googletest::prelude::*;
+use wire::{Code, Fingerprint, InstanceId, KeyRing, MeshKey, Offset, Time, UnixMillis};
+
+const REQUEST: Fingerprint = Fingerprint(1);
+
+fn issuer(instance: u64, boot: u64) -> Issuer {
+    let keys = KeyRing::new("mesh", MeshKey::new(1, "secret"), None);
+    Issuer::new(InstanceId(instance), Boot(boot), keys)
+}
+
+fn parse(key: &str) -> IssuedKey {
+    key.parse().expect("an issued key")
+}
+
+fn issue_many(issuer: &mut Issuer, count: u64) {
+    for _ in 0..count / MAX_BLOCK as u64 {
+        issuer.issue(MAX_BLOCK);
+    }
+}
+
+// Guards against a second run of an issued key in each state that the key can be in.
+#[gtest]
+fn an_issued_key_is_admitted_once() {
+    type Prepare = fn(&mut Issuer);
+    let refuse = Admitted::Refuse;
+    #[rustfmt::skip]
+    let cases: &[(&str, Prepare, Fingerprint, Admitted)] = &[
+        ("unused", |_| {}, REQUEST, Admitted::Run),
+        ("granted", grant, REQUEST, refuse(Code::ClaimHeld)),
+        ("handed", hand, REQUEST, refuse(Code::ClaimHeld)),
+        ("another request", hand, Fingerprint(2), refuse(Code::KeyMismatch)),
+        ("dropped before", |i| { grant(i); i.dropped(0); }, REQUEST, Admitted::Run),
+        ("dropped after", |i| { hand(i); i.dropped(0); }, REQUEST, refuse(Code::ClaimHeld)),
+        ("lost", |i| { hand(i); i.finished(0, Outcome::Unknown); }, REQUEST, refuse(Code::OutcomeUnknown)),
+        ("too large", |i| finish(i, 5_000), REQUEST, refuse(Code::AlreadyRun)),
+        ("old, unused", |i| issue_many(i, OUTCOME_WINDOW), REQUEST, refuse(Code::KeyExpired)),
+        ("old, ended", |i| { finish(i, 1); issue_many(i, OUTCOME_WINDOW); }, REQUEST, refuse(Code::OutcomeUnknown)),
+        ("old, running", |i| { hand(i); issue_many(i, USED_WINDOW + 256); }, REQUEST, refuse(Code::ClaimHeld)),
+        ("very old", |i| issue_many(i, USED_WINDOW + 256), REQUEST, refuse(Code::OutcomeUnknown)),
+    ];
+    for (name, prepare, request, expected) in cases {
+        let mut i = issuer(1, 1);
+        let key = parse(&i.issue(1)[0]);
+        prepare(&mut i);
+        expect_that!(i.admit(&key, *request), eq(expected), "{name}");
+    }
+}
+
+fn grant(i: &mut Issuer) {
+    let key = parse(&issuer(1, 1).issue(1)[0]);
+    assert_eq!(i.admit(&key, REQUEST), Admitted::Run);
+}
+
+fn hand(i: &mut Issuer) {
+    grant(i);
+    i.handed(0);
+}
+
+fn finish(i: &mut Issuer, bytes: usize) {
+    hand(i);
+    i.finished(0, Outcome::of(200, vec![0; bytes]));
+}
+
+// Guards against a run by a process that can't know whether the key was used: another life or
+// instance, or a key that nobody issued.
+#[gtest]
+fn only_the_issuing_process_runs_a_key() {
+    let text = issuer(1, 1).issue(1).remove(0);
+    let forged = text.replace(".0.", ".5.");
+    // The others have issued the same numbers, so only the checks tell the keys apart.
+    let others = |instance, boot| {
+        let mut other = issuer(instance, boot);
+        other.issue(MAX_BLOCK);
+        other
+    };
+    let cases = [
+        ("another boot", others(1, 2), &text, Code::OutcomeUnknown),
+        (
+            "another instance",
+            others(2, 1),
+            &text,
+            Code::OutcomeUnknown,
+        ),
+        ("not issued yet", issuer(1, 1), &text, Code::OutcomeUnknown),
+        ("forged number", others(1, 1), &forged, Code::BadHeader),
+    ];
+    for (name, mut issuer, key, code) in cases {
+        expect_that!(
+            issuer.admit(&parse(key), REQUEST),
+            eq(&Admitted::Refuse(code)),
+            "{name}"
+        );
+    }
+    expect_that!(parse(&text).instance, eq(InstanceId(1)));
+    for bad in [
+        "",
+        "bk1",
+        "bk2.1.1.1.1",
+        &format!("{text}.x"),
+        &text.replace(".0.", ".00."),
+    ] {
+        expect_that!(bad.parse::<IssuedKey>(), err(anything()), "{bad}");
+    }
+}
+
+// Guards against outcomes that pile up in memory.
+#[gtest]
+fn outcomes_of_issued_keys_are_bounded() {
+    let mut i = issuer(1, 1);
+    for _ in 0..(OUTCOME_WINDOW / 256 + 20) {
+        for text in i.issue(MAX_BLOCK) {
+            let key = parse(&text);
+            assert_eq!(i.admit(&key, REQUEST), Admitted::Run);
+            i.handed(key.n);
+            i.finished(key.n, Outcome::of(200, Vec::new()));
+        }
+    }
+    expect_that!(i.len() as u64, le(OUTCOME_WINDOW));
+}
+
+fn now() -> Now {
+    Now {
+        time: Time::ZERO,
+        at: UnixMillis(1_800_000_000_000),
+    }
+}
+
+fn ask(claims: &mut Claims, req: u64, key: &str) -> Vec<Action> {
+    let event = ClaimEvent::Ask {
+        req: ReqId(req),
+        key: key.to_owned(),
+        request: REQUEST,
+        deadline: Time::from_millis(100),
+    };
+    let actions = claims.handle(now(), event).into_iter();
+    actions.map(|a| a.action).collect()
+}
+
+// Guards against events that reach the wrong machine, and against a damaged issued key that is run
+// as a caller-generated one.
+#[gtest]
+fn one_interface_serves_both_kinds_of_keys() {
+    let shard = |n| Shard::new(Cfg::new(InstanceId(1), Boot(1)), n);
+    let mut claims = Claims::new(vec![shard(1), shard(2)], issuer(1, 1));
+    let text = claims.issuer().issue(1).remove(0);
+    expect_that!(
+        ask(&mut claims, 1, &text),
+        elements_are![eq(&Action::Run(ReqId(1)))]
+    );
+    claims.handle(now(), ClaimEvent::Handed(ReqId(1)));
+    claims.handle(now(), ClaimEvent::Dropped(ReqId(1)));
+    let finished = ClaimEvent::Finished {
+        req: ReqId(1),
+        status: 200,
+        answer: vec![7],
+    };
+    claims.handle(now(), finished);
+    let repeat = ask(&mut claims, 2, &text);
+    expect_that!(
+        repeat,
+        elements_are![matches_pattern!(Action::Answer { .. })]
+    );
+    for bad in [&text[..text.len() - 1], "bk1.x", "", "a b"] {
+        let refusal = Code::BadHeader.into();
+        let expected = Action::Refuse {
+            req: ReqId(3),
+            refusal,
+        };
+        expect_that!(
+            ask(&mut claims, 3, bad),
+            elements_are![eq(&expected)],
+            "{bad}"
+        );
+    }
+    for i in 0..2 {
+        let end = Event::End { end: Offset(0) };
+        claims.handle(now(), ClaimEvent::Stream(i, end));
+    }
+    expect_that!(ask(&mut claims, 4, "k"), is_empty());
+    let shard = Key::try_from("k").expect("a valid key").shard(2);
+    let unsettled: Vec<_> = claims.shards().iter().map(Shard::unsettled).collect();
+    expect_that!(unsettled[shard], eq(1));
+    expect_that!(unsettled[1 - shard], eq(0));
+    claims.handle(now(), ClaimEvent::Dropped(ReqId(4)));
+    expect_that!(claims.shards()[shard].unsettled(), eq(0));
+}
