Let outcomes wait up to 10 ms for a shared append

Cause: at low rates each request cost two appends, one for the claim and one for its outcome. Nobody on this node waits for the outcome record, since repeats are answered from memory. Ruled out: the same wait for releases; the next asker of the key waits for them. A longer wait: an outcome that has not been appended is lost (403) when the process dies.

--- a/crates/claim/src/outbox.rs
+++ b/crates/claim/src/outbox.rs
@@ -62,7 +62,8 @@
     queue: VecDeque<ItemId>,
     flight: Option<Flight>,
     last_batch: u64,
-    window: Duration,
+    claim_window: Duration,
+    outcome_window: Duration,
     flush_at: Time,
     hold_until: Time,
     failures: u32,
@@ -70,13 +71,16 @@
 }
 
 impl Outbox {
-    pub(crate) fn new(window: Duration, seed: u64) -> Outbox {
+    /// Makes an empty outbox. A claim waits at most `claim_window` for others to share its append,
+    /// an outcome at most `outcome_window`.
+    pub(crate) fn new(claim_window: Duration, outcome_window: Duration, seed: u64) -> Outbox {
         Outbox {
             items: BTreeMap::new(),
             queue: VecDeque::new(),
             flight: None,
             last_batch: 0,
-            window,
+            claim_window,
+            outcome_window,
             flush_at: Time::ZERO,
             hold_until: Time::ZERO,
             failures: 0,
@@ -86,9 +90,11 @@
 
     /// Adds a record. It is appended until [`Outbox::seen`] or [`Outbox::cancel`].
     pub(crate) fn push(&mut self, now: Time, id: ItemId, data: Vec<u8>) {
-        if self.queue.is_empty() {
-            self.flush_at = now + self.window;
-        }
+        let window = match id.0 {
+            Kind::Done => self.outcome_window,
+            _ => self.claim_window,
+        };
+        self.flush_by(now + window);
         let item = Item {
             data,
             place: Place::Queued,
@@ -183,12 +189,12 @@
 
     /// Queues all records again whose place in the stream can't be seen any more.
     pub(crate) fn requeue_written(&mut self, now: Time) {
+        self.flush_by(now + self.claim_window);
         for (id, item) in &mut self.items {
             if item.place == Place::Written {
                 item.place = Place::Queued;
                 item.unsure = true;
                 self.queue.push_back(*id);
-                self.flush_at = self.flush_at.max(now + self.window);
             }
         }
     }
@@ -206,6 +212,13 @@
         self.due()
     }
 
+    fn flush_by(&mut self, at: Time) {
+        let is_earlier = self.queue.is_empty() || at < self.flush_at;
+        if is_earlier {
+            self.flush_at = at;
+        }
+    }
+
     fn due(&self) -> Option<Time> {
         (!self.queue.is_empty()).then(|| self.flush_at.max(self.hold_until))
     }
--- a/crates/claim/src/shard.rs
+++ b/crates/claim/src/shard.rs
@@ -43,6 +43,9 @@
     pub window: Duration,
     /// How long a claim waits for others to share its append.
     pub batch_window: Duration,
+    /// How long an outcome waits for others, or for a claim. Repeats on this node don't wait for it,
+    /// but an outcome that waits is lost when the process dies.
+    pub outcome_window: Duration,
     /// A request is not run when less than this remains of its deadline.
     pub run_margin: Duration,
     /// Requests whose claims are not settled.
@@ -61,6 +64,7 @@
             boot,
             window: Duration::from_secs(86_400),
             batch_window: Duration::from_millis(1),
+            outcome_window: Duration::from_millis(10),
             run_margin: Duration::from_millis(5),
             max_claims: 4_096,
             max_waiters: 256,
@@ -230,7 +234,7 @@
         Shard {
             fold: Fold::new(),
             readiness: Readiness::Reading,
-            outbox: Outbox::new(cfg.batch_window, seed),
+            outbox: Outbox::new(cfg.batch_window, cfg.outcome_window, seed),
             own: BTreeMap::new(),
             claims: BTreeMap::new(),
             reqs: BTreeMap::new(),
