--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,10 @@
 //! Helpers of the tests with real processes.
-#![allow(dead_code, unreachable_pub, missing_docs, missing_debug_implementations)]
+#![allow(
+    dead_code,
+    unreachable_pub,
+    missing_docs,
+    missing_debug_implementations
+)]
 
 use std::io::{BufRead, BufReader};
 use std::net::{IpAddr, Ipv4Addr};
@@ -22,8 +27,8 @@
 
 impl Workdir {
     pub fn new(name: &str) -> Workdir {
-        let dir = Path::new(env!("CARGO_TARGET_TMPDIR"))
-            .join(format!("{name}-{}", std::process::id()));
+        let dir =
+            Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
         Workdir { dir }
     }
@@ -62,21 +67,31 @@
 
 impl Proc {
     pub fn spawn(cmd: &mut Command) -> Proc {
-        Proc { child: cmd.stdin(Stdio::null()).spawn().unwrap() }
+        Proc {
+            child: cmd.stdin(Stdio::null()).spawn().unwrap(),
+        }
     }
 
     /// Starts a stand-in and returns it with the address that it prints.
     pub fn spawn_listening(cmd: &mut Command) -> (Proc, String) {
         let mut proc = Proc::spawn(cmd.stdout(Stdio::piped()));
         let mut line = String::new();
-        BufReader::new(proc.child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-        let addr = line.trim().strip_prefix("listening ").expect("no address printed");
+        BufReader::new(proc.child.stdout.take().unwrap())
+            .read_line(&mut line)
+            .unwrap();
+        let addr = line
+            .trim()
+            .strip_prefix("listening ")
+            .expect("no address printed");
         (proc, addr.to_owned())
     }
 
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let status = Command::new("kill").args(["-s", name, &id]).status().unwrap();
+        let status = Command::new("kill")
+            .args(["-s", name, &id])
+            .status()
+            .unwrap();
         assert!(status.success());
     }
 
@@ -112,7 +127,11 @@
 }
 
 pub fn spec(service: &'static str, n: usize, domain: &'static str) -> Spec {
-    Spec { name: format!("{service}-{n}"), service, domain }
+    Spec {
+        name: format!("{service}-{n}"),
+        service,
+        domain,
+    }
 }
 
 /// The servers of the Cask Registry.
@@ -201,8 +220,11 @@
             extra_settings: extra_settings.to_owned(),
         };
         let addrs: Vec<IpAddr> = specs.iter().map(|_| next_addr()).collect();
-        let seeds: Vec<String> =
-            addrs.iter().take(3).map(|a| format!("\"{a}:{RPC}\"")).collect();
+        let seeds: Vec<String> = addrs
+            .iter()
+            .take(3)
+            .map(|a| format!("\"{a}:{RPC}\""))
+            .collect();
         for (spec, addr) in specs.iter().zip(&addrs) {
             mesh.add(spec, *addr, &seeds.join(", "));
         }
@@ -210,7 +232,11 @@
     }
 
     fn add(&mut self, spec: &Spec, addr: IpAddr, seeds: &str) {
-        let Spec { name, service, domain } = spec;
+        let Spec {
+            name,
+            service,
+            domain,
+        } = spec;
         let (log, extra) = (&self.log_url, &self.extra_settings);
         let text = format!(
             r#"mesh = "indus-vale"
@@ -254,14 +280,23 @@
     pub fn start_node(&mut self, i: usize) {
         let mut cmd = self.wrk.command("node");
         cmd.arg("--settings").arg(&self.nodes[i].settings);
-        cmd.env("RUST_LOG", std::env::var("RUST_LOG").unwrap_or_else(|_| "off".to_owned()));
+        cmd.env(
+            "RUST_LOG",
+            std::env::var("RUST_LOG").unwrap_or_else(|_| "off".to_owned()),
+        );
         self.nodes[i].proc = Some(Proc::spawn(&mut cmd));
     }
 
     pub fn start_target(&mut self, i: usize) {
         let mut cmd = self.wrk.command("fake");
         let node = &self.nodes[i];
-        cmd.args(["target", "--service", node.spec.service, "--node", &node.target_listener()]);
+        cmd.args([
+            "target",
+            "--service",
+            node.spec.service,
+            "--node",
+            &node.target_listener(),
+        ]);
         let (proc, addr) = Proc::spawn_listening(&mut cmd);
         self.nodes[i].target = Some(proc);
         self.nodes[i].target_url = format!("http://{addr}");
@@ -292,7 +327,11 @@
     }
 
     pub async fn state(&self, i: usize) -> Option<StateReport> {
-        let res = self.client.get(format!("{}/state", self.nodes[i].operator())).send().await;
+        let res = self
+            .client
+            .get(format!("{}/state", self.nodes[i].operator()))
+            .send()
+            .await;
         res.ok()?.json().await.ok()
     }
 
@@ -327,7 +366,10 @@
                 return;
             }
             let name = &self.nodes[i].spec.name;
-            assert!(Instant::now() < until, "{name} did not reach '{what}': {state:#?}");
+            assert!(
+                Instant::now() < until,
+                "{name} did not reach '{what}': {state:#?}"
+            );
             tokio::time::sleep(POLL).await;
         }
     }
@@ -340,7 +382,14 @@
 
     pub async fn target_stats(&self, i: usize) -> TargetStats {
         let url = format!("{}/stats", self.nodes[i].target_url);
-        self.client.get(url).send().await.unwrap().json().await.unwrap()
+        self.client
+            .get(url)
+            .send()
+            .await
+            .unwrap()
+            .json()
+            .await
+            .unwrap()
     }
 
     /// Counts the runs of a key over all targets that are up.
