Let callers catch up on up to four requests

A caller whose few pulls don't always leave one waiting lost its turn, and with it part of its share. Its virtual time may now stay up to four requests behind.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -323,10 +323,10 @@
     }
 
     fn enqueue(&mut self, request: Request) -> Key {
-        let (long, bucket, seq, start_by) =
-            (request.long, request.bucket, request.seq, request.start_by);
+        let (long, bucket, seq) = (request.long, request.bucket, request.seq);
+        let (start_by, cost_us) = (request.start_by, request.cost_us);
         let key = self.insert(request);
-        self.queue(long).push(bucket, seq, key);
+        self.queue(long).push(bucket, seq, key, cost_us);
         self.expiries.insert((start_by, key));
         key
     }
--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -9,6 +9,10 @@
 /// Entries for callers beyond the table.
 const SHARED_BUCKETS: u64 = 64;
 
+/// Requests that a caller without waiting work may fall behind and still catch up later. Callers
+/// whose few requests don't always leave one waiting would else get less than their share.
+const CREDIT: u64 = 4;
+
 /// Which request of a caller is served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Order {
@@ -84,11 +88,12 @@
         }
     }
 
-    pub(crate) fn push(&mut self, bucket: u64, seq: u64, key: Key) {
+    pub(crate) fn push(&mut self, bucket: u64, seq: u64, key: Key, cost: u64) {
+        let credit = CREDIT * cost;
         self.arrivals.insert(seq, key);
         let caller = self.callers.entry(bucket).or_default();
         if caller.waiting.is_empty() {
-            caller.tag = caller.tag.max(self.virtual_time);
+            caller.tag = caller.tag.max(self.virtual_time.saturating_sub(credit));
             self.ready.insert((caller.tag, bucket));
         }
         caller.waiting.insert(seq, key);
