--- a/crates/bench/src/crest.rs
+++ b/crates/bench/src/crest.rs
@@ -34,6 +34,9 @@
 /// Demand of the one demanding caller over that of each other one.
 const DEMANDING: f64 = 3.0;
 
+/// Declared over true slots in the variant with targets that are slower than they declare.
+const OVERDECLARED: u32 = 2;
+
 /// Figures of one service, or the worst of several.
 #[derive(Clone, Copy, Debug)]
 struct Seen {
@@ -43,6 +46,8 @@
     attempts: f64,
     unfair: f64,
     unfair_demanding: f64,
+    accepted_ms: f64,
+    overdeclared_ms: f64,
 }
 
 pub(crate) fn run(seed: u64, baseline: bool) -> Vec<Figure> {
@@ -86,6 +91,8 @@
         attempts: a.attempts.max(b.attempts),
         unfair: a.unfair.max(b.unfair),
         unfair_demanding: a.unfair_demanding.max(b.unfair_demanding),
+        accepted_ms: a.accepted_ms.max(b.accepted_ms),
+        overdeclared_ms: a.overdeclared_ms.max(b.overdeclared_ms),
     }
 }
 
@@ -94,6 +101,11 @@
     let equal = run_case(&case);
     case.kinds[0].callers[0] = DEMANDING;
     let demanding = run_case(&case);
+    case.kinds[0].callers[0] = 1.0;
+    case.hops[0]
+        .iter_mut()
+        .for_each(|t| t.declared *= OVERDECLARED);
+    let overdeclared = run_case(&case);
     let hop = equal.hops[0];
     Seen {
         goodput: goodput(&case.hops[0], &equal),
@@ -102,6 +114,8 @@
         attempts: hop.attempts as f64 / hop.calls as f64,
         unfair: deviation(&equal),
         unfair_demanding: deviation(&demanding),
+        accepted_ms: accepted_p99(&equal),
+        overdeclared_ms: accepted_p99(&overdeclared),
     }
 }
 
@@ -152,6 +166,15 @@
     if p99.is_nan() { 0.0 } else { p99 }
 }
 
+/// Returns the p99 of requests completed in time while demand is high.
+fn accepted_p99(outcome: &Outcome) -> f64 {
+    let counted = outcome
+        .requests
+        .iter()
+        .filter(|r| r.arrived >= UP + RAMP && r.arrived < DOWN);
+    p99_ms(counted.filter_map(|r| r.in_time()))
+}
+
 /// Returns the time from the end of the high demand to the last group whose p99 isn't normal.
 fn recovery(outcome: &Outcome) -> f64 {
     let between = |from: Time, to: Time| {
