--- a/crates/route/src/outlier.rs
+++ b/crates/route/src/outlier.rs
@@ -132,8 +132,12 @@
             self.next_probe = now + self.wait;
             return false;
         }
-        self.passed = 0;
-        self.wait = self.wait.mul_f64(PROBE_GROWTH).min(cfg.probe_after_max);
+        // One late probe after a prompt one is common on a recovered instance that is slow by
+        // nature, and rare on a slowed one.
+        self.wait = match std::mem::take(&mut self.passed) {
+            0 => self.wait.mul_f64(PROBE_GROWTH).min(cfg.probe_after_max),
+            _ => cfg.probe_after / 2,
+        };
         self.next_probe = now + self.wait;
         false
     }
