Let an unconfirmed ejection give way to stronger evidence

An ejection that no failed probe has confirmed now gives way when the evidence against another instance is 1.4 times the threshold. Trial without the mechanism: the new test reports [1] ejected instead of [2].

--- a/crates/route/src/outlier.rs
+++ b/crates/route/src/outlier.rs
@@ -94,6 +94,8 @@
     pub(crate) next_probe: Time,
     wait: Duration,
     passed: u32,
+    /// Whether a probe has failed since.
+    pub(crate) confirmed: bool,
 }
 
 impl Ejection {
@@ -103,6 +105,7 @@
             next_probe: now + cfg.probe_after,
             wait: cfg.probe_after,
             passed: 0,
+            confirmed: false,
         }
     }
 
@@ -134,6 +137,7 @@
         }
         // One late probe after a prompt one is common on a recovered instance that is slow by
         // nature, and rare on a slowed one.
+        self.confirmed = true;
         self.wait = match std::mem::take(&mut self.passed) {
             0 => self.wait.mul_f64(PROBE_GROWTH).min(cfg.probe_after_max),
             _ => cfg.probe_after / 2,
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -24,6 +24,8 @@
 /// Longest time without a request to a suspect. A node that rarely uses an instance would
 /// otherwise be slow to find out whether it is slowed.
 const SUSPECT_WAIT: Duration = Duration::from_millis(50);
+/// Suspicion at which an instance takes the place of an ejected one, over the threshold.
+const SWAP_SHARE: f64 = 1.4;
 /// Times that one request can be found late.
 const MAX_LATENESS: u32 = 3;
 /// How long a refusal for draining keeps requests away; membership reports it within this time.
@@ -432,10 +434,17 @@
     /// Ejects an instance unless too many are out or most others look the same.
     fn try_eject(&mut self, now: Time, key: PeerKey) {
         let limit = max_ejected(self.ready());
-        let ejected = self.peers.values().filter(|p| p.ejection.is_some()).count();
-        if ejected >= limit || self.peers[key].state != State::Ready {
+        if limit == 0 || self.peers[key].state != State::Ready {
             return;
         }
+        let ejected = self.peers.values().filter(|p| p.ejection.is_some()).count();
+        let mut gives_way = None;
+        if ejected >= limit {
+            gives_way = self.least_confirmed(key);
+            if gives_way.is_none() {
+                return;
+            }
+        }
         let mut others: Vec<f64> = self
             .peers
             .iter()
@@ -447,11 +456,25 @@
         if median >= self.cfg.outlier.threshold * SUSPECT_SHARE {
             return;
         }
+        if let Some(other) = gives_way {
+            self.peers[other].ejection = None;
+            self.peers[other].suspicion = 0.0;
+        }
         self.peers[key].ejection = Some(Ejection::new(&self.cfg.outlier, now));
         self.stats.ejections += 1;
         self.rebuild(now);
     }
 
+    /// Returns the ejected instance that gives way to `key`: no probe has failed there yet, and the
+    /// evidence against `key` is stronger than that which ejects.
+    fn least_confirmed(&self, key: PeerKey) -> Option<PeerKey> {
+        if self.peers[key].suspicion < self.cfg.outlier.threshold * SWAP_SHARE {
+            return None;
+        }
+        let open = |p: &Peer| p.ejection.is_some_and(|e| !e.confirmed);
+        self.peers.iter().find(|(_, p)| open(p)).map(|(k, _)| k)
+    }
+
     /// Judges the requests that have become late, and refreshes the derived state.
     fn advance(&mut self, now: Time) {
         while let Some(&(at, ticket)) = self.due.first() {
--- a/crates/route/tests/outlier.rs
+++ b/crates/route/tests/outlier.rs
@@ -173,6 +173,18 @@
     expect_that!(s.picker.stats().ejections, eq(0));
 }
 
+/// Guards against a hasty ejection that keeps the place of an instance that is really slowed.
+#[gtest]
+fn unconfirmed_ejection_gives_way() {
+    let mut s = Service::warm();
+    s.run(Duration::from_millis(100), |id, _| {
+        (10, if id == 1 { Kind::Lost } else { Kind::Ok })
+    });
+    expect_that!(s.ejected(), elements_are![eq(&1)]);
+    s.run(Duration::from_millis(390), slowed);
+    expect_that!(s.ejected(), elements_are![eq(&2)]);
+}
+
 /// Guards against an instance that fails fast and attracts requests thereby.
 #[gtest]
 fn failures_eject() {
