Don't blame instances for a pause of the own process

A request that is found late with a delay of over 20 ms is now judged 10 ms later, and an answer that arrives in between says nothing and isn't recorded as a latency. poll and next_wake let a node without traffic judge in time.

--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -26,6 +26,10 @@
 const SUSPECT_WAIT: Duration = Duration::from_millis(50);
 /// Suspicion at which an instance takes the place of an ejected one, over the threshold.
 const SWAP_SHARE: f64 = 1.4;
+/// Delay in finding a late request from which on this process may have been stalled.
+const STALL: Duration = Duration::from_millis(20);
+/// Time that a stalled process has for the answers that have arrived meanwhile.
+const GRACE: Duration = Duration::from_millis(10);
 /// Times that one request can be found late.
 const MAX_LATENESS: u32 = 3;
 /// How long a refusal for draining keeps requests away; membership reports it within this time.
@@ -105,6 +109,8 @@
     /// How often it was found late: at the limit, at twice and at four times the limit.
     lateness: u32,
     judged: bool,
+    /// Whether its judgement was put off.
+    deferred: bool,
     answered: bool,
 }
 
@@ -251,6 +257,7 @@
             due,
             lateness: 0,
             judged: false,
+            deferred: false,
             answered: false,
         });
         if let Some(at) = due {
@@ -270,15 +277,20 @@
         }
         call.answered = true;
         let (key, route, latency) = (call.peer, call.route, now.since(call.begun));
+        let stalled = call.deferred && !call.judged;
+        if let (Some(peer), Some(load)) = (self.peers.get_mut(key), load) {
+            peer.load = Some((now, load));
+        }
+        if stalled {
+            self.decide(now, ticket, Evidence::Unclear);
+            return;
+        }
         let median = self.judge.median(route);
         if let Some(peer) = self.peers.get_mut(key) {
             if let Some(median) = median {
                 peer.speed
                     .update(latency.as_secs_f64() / median.as_secs_f64());
             }
-            if let Some(load) = load {
-                peer.load = Some((now, load));
-            }
             // Probes of a slow instance don't belong to the service's usual latency.
             if peer.ejection.is_none() {
                 self.judge.record(route, latency);
@@ -380,6 +392,21 @@
         self.weigh(now, key, begun, evidence);
     }
 
+    /// Gives an attempt that was found late with a delay time for its answer, once: this process
+    /// may have been stalled, and the answer may wait in a socket buffer.
+    fn defer(&mut self, now: Time, ticket: Ticket) -> bool {
+        let Some(call) = self.calls.get_mut(ticket) else {
+            return false;
+        };
+        if std::mem::replace(&mut call.deferred, true) {
+            return false;
+        }
+        let at = now + GRACE;
+        call.due = Some(at);
+        self.due.insert((at, ticket));
+        true
+    }
+
     /// Judges an attempt that is late, and sets the age at which it is judged again.
     fn overdue(&mut self, now: Time, ticket: Ticket) {
         let Some(call) = self.calls.get_mut(ticket) else {
@@ -478,11 +505,13 @@
     /// Judges the requests that have become late, and refreshes the derived state.
     fn advance(&mut self, now: Time) {
         while let Some(&(at, ticket)) = self.due.first() {
-            if at >= now {
+            if at > now {
                 break;
             }
             self.due.remove(&(at, ticket));
-            self.overdue(now, ticket);
+            if now.since(at) <= STALL || !self.defer(now, ticket) {
+                self.overdue(now, ticket);
+            }
         }
         if now >= self.refresh_at {
             self.rebuild(now);
@@ -632,6 +661,16 @@
         Some(key)
     }
 
+    /// Judges the requests that have become late by now, for a node without traffic.
+    pub fn poll(&mut self, now: Time) {
+        self.advance(now);
+    }
+
+    /// Returns when `poll` is worth a call, if at all.
+    pub fn next_wake(&self) -> Option<Time> {
+        self.due.first().map(|(at, _)| *at)
+    }
+
     /// Returns the service's median latency on a route, once it is known.
     pub fn median(&self, route: RouteKey) -> Option<Duration> {
         self.judge.median(route)
--- a/crates/route/tests/outlier.rs
+++ b/crates/route/tests/outlier.rs
@@ -185,6 +185,17 @@
     expect_that!(s.ejected(), elements_are![eq(&2)]);
 }
 
+/// Guards against blaming instances for a pause of this node itself.
+#[gtest]
+fn own_pause_ejects_nothing() {
+    let mut s = Service::warm();
+    for _ in 0..20 {
+        s.run(Duration::from_millis(50), |_, _| (10, Kind::Ok));
+        s.now = s.now + Duration::from_secs(1);
+    }
+    expect_that!(s.picker.stats().ejections, eq(0));
+}
+
 /// Guards against an instance that fails fast and attracts requests thereby.
 #[gtest]
 fn failures_eject() {
