Check in the simulation that each request gets one action in time

Cause: the simulation counted hand-overs but would not have seen a request that is never answered, or answered twice. Changed: each ask must get one of run, answer and refusal, at the latest at its deadline, unless its node restarts. Not caught, because the deadline timer and the exact state of an adopted checkpoint cover it: undecided claims that are kept after records were missed.

--- a/crates/claim/tests/at_most_once.rs
+++ b/crates/claim/tests/at_most_once.rs
@@ -17,7 +17,8 @@
     })]
 
     // Guards against a second hand-over of a key, a refusal `no` of a request that runs, an answer
-    // of another key, and folds of one prefix that differ. The checks are in the simulation.
+    // of another key, no or two actions for a request, and folds of one prefix that differ. The
+    // checks are in the simulation.
     #[test]
     fn no_key_is_handed_over_twice(seed in any::<u64>(), nodes in 2..5_usize) {
         World::new(seed, nodes).run(3_000);
--- a/crates/claim/tests/sim/mod.rs
+++ b/crates/claim/tests/sim/mod.rs
@@ -46,6 +46,8 @@
     keys: BTreeMap<ReqId, Key>,
     handed: BTreeSet<ReqId>,
     settled: BTreeSet<ReqId>,
+    /// Requests without an action so far, by node and deadline.
+    open: BTreeMap<ReqId, (usize, u64)>,
     dropped_keys: BTreeSet<Key>,
     runs: BTreeMap<Key, u64>,
     pub(crate) seen: Seen,
@@ -67,6 +69,7 @@
             keys: BTreeMap::new(),
             handed: BTreeSet::new(),
             settled: BTreeSet::new(),
+            open: BTreeMap::new(),
             dropped_keys: BTreeSet::new(),
             runs: BTreeMap::new(),
             seen: Seen::default(),
@@ -112,6 +115,7 @@
         }
         if self.rng.random_bool(0.003) {
             self.nodes[i] = self.start(i);
+            self.open.retain(|_, (node, _)| *node != i);
             self.seen.restarts += 1;
         }
         if self.rng.random_bool(0.002) {
@@ -174,10 +178,16 @@
             self.read(i);
         }
         self.act(i, Event::Tick);
+        let late = |(node, deadline): &(usize, u64)| *node == i && *deadline <= self.now;
+        assert!(!self.open.values().any(late), "no action by the deadline");
     }
 
     /// A request may leave the shard's hands only by `Handed`, so hand-overs are counted here.
     fn deliver(&mut self, i: usize, event: Event) {
+        if let Event::Ask(ask) = &event {
+            let deadline = ask.deadline.as_micros() / 1_000;
+            self.open.insert(ask.req, (i, deadline));
+        }
         if let Event::Handed(req) = event {
             let key = self.keys[&req].clone();
             assert!(
@@ -247,7 +257,10 @@
         for action in self.nodes[i].shard.handle(now, event) {
             match action {
                 Action::Append { batch, records } => self.append(i, batch, records),
-                Action::Run(req) => self.hand_over(i, req),
+                Action::Run(req) => {
+                    self.act_once(req);
+                    self.hand_over(i, req);
+                }
                 Action::Answer { req, answer } => self.answered(req, &answer.body),
                 Action::Refuse { req, refusal } => {
                     if refusal.code.executed() == Some(Executed::No) {
@@ -256,6 +269,7 @@
                             "{req:?} was refused after its run"
                         );
                     }
+                    self.act_once(req);
                     self.settled.insert(req);
                 }
             }
@@ -273,10 +287,17 @@
         self.send(i, delay, event);
     }
 
+    /// Each request gets one action: run it, answer it or refuse it.
+    fn act_once(&mut self, req: ReqId) {
+        let open = self.open.remove(&req);
+        assert!(open.is_some(), "a second action for {req:?}");
+    }
+
     fn answered(&mut self, req: ReqId, body: &[u8]) {
         let run = ReqId(u64::from_le_bytes(body.try_into().expect("eight bytes")));
         assert!(self.handed.contains(&run), "an answer without a run");
         assert_eq!(self.keys[&run], self.keys[&req], "an answer of another key");
+        self.act_once(req);
         self.settled.insert(req);
         self.seen.answers += 1;
     }
