--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -20,7 +20,9 @@
 
 pub use claims::{ClaimEvent, Claims, ClaimsAction};
 pub use fold::{Applied, Entry, Fold};
-pub use issued::{Admitted, IssuedKey, Issuer, MAX_BLOCK, OUTCOME_WINDOW, PREFIX, USED_WINDOW};
+pub use issued::{
+    Admitted, IssuedKey, IssuedKeyError, Issuer, MAX_BLOCK, OUTCOME_WINDOW, PREFIX, USED_WINDOW,
+};
 pub use key::{Key, KeyError, MAX_KEY_BYTES};
 pub use record::{
     Answer, Boot, Checkpoint, Claim, ClaimId, Done, FORMAT, MAX_ANSWER_BYTES, Outcome, Record,
