Leave the choice to the load when many instances are suspects

Cause: when the whole service is slow, each instance is a suspect, and a request per 50 ms to each of them bypasses the comparison of their load. This now ends when more than half of the usable instances are suspects, and full or refusing ones are left out.

--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -567,17 +567,31 @@
         self.peers.values().filter(ready).count()
     }
 
+    /// Returns a suspect that had no request for a while.
+    ///
+    /// Many suspects mean that the service is slow, and then the usual choice spreads the load.
+    fn suspect(&self, now: Time, ask: &Ask<'_>) -> Option<InstanceId> {
+        if self.suspects.len() > (self.usable.len() / 2).max(1) {
+            return None;
+        }
+        let waits = |p: &&Peer| {
+            p.ejection.is_none()
+                && now >= p.last_begun + SUSPECT_WAIT
+                && now >= p.busy_until
+                && p.in_flight < p.slots
+        };
+        let suspects = self.suspects.iter().map(|key| &self.peers[*key]);
+        let mut idle = suspects.filter(waits).map(|p| p.id);
+        idle.find(|id| !ask.exclude.contains(id))
+    }
+
     fn probe(&mut self, now: Time, ask: &Ask<'_>) -> Option<InstanceId> {
         if ask.hedge {
             return None;
         }
-        for key in &self.suspects {
-            let peer = &self.peers[*key];
-            let due = peer.ejection.is_none() && now >= peer.last_begun + SUSPECT_WAIT;
-            if due && !ask.exclude.contains(&peer.id) {
-                self.stats.probes += 1;
-                return Some(peer.id);
-            }
+        if let Some(id) = self.suspect(now, ask) {
+            self.stats.probes += 1;
+            return Some(id);
         }
         for key in &self.ejected {
             let peer = &mut self.peers[*key];
