Judge probes by a wider limit

Cause: the limit is bounded at six times the service's median, which is under three times the usual latency of the slowest target, so such a target failed probes by chance after its recovery. For probes the bound is nine times.

--- a/crates/route/src/outlier.rs
+++ b/crates/route/src/outlier.rs
@@ -20,6 +20,9 @@
     pub late_factor: f64,
     /// Bound of that limit as a multiple of the service's median.
     pub late_factor_max: f64,
+    /// The same bound for probes. It is wider, since an instance that is slow by nature would
+    /// otherwise fail a tenth of its probes by chance.
+    pub probe_factor_max: f64,
     /// Smallest limit; below it, scheduling noise would decide.
     pub late_min: Duration,
     /// Sum of log likelihood ratios at which an instance is ejected.
@@ -39,6 +42,7 @@
         OutlierCfg {
             late_factor: 4.0,
             late_factor_max: 6.0,
+            probe_factor_max: 9.0,
             late_min: Duration::from_millis(1),
             // One false alarm in about 20,000 requests, as far as they are independent.
             threshold: 10.0,
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -246,7 +246,7 @@
         if let Some(peer) = self.peers.get_mut(key) {
             peer.in_flight += 1;
             peer.last_begun = now;
-            limit = self.judge.limit(&self.cfg.outlier, route, peer.speed);
+            limit = late_limit(&self.judge, &self.cfg.outlier, route, peer);
         }
         let due = limit.map(|limit| now + limit);
         let ticket = self.calls.insert(Call {
@@ -696,7 +696,7 @@
     /// but healthy instance would stay ejected.
     pub fn late_after(&self, id: InstanceId, route: RouteKey) -> Option<Duration> {
         let peer = self.peers.get(*self.by_id.get(&id)?)?;
-        self.judge.limit(&self.cfg.outlier, route, peer.speed)
+        late_limit(&self.judge, &self.cfg.outlier, route, peer)
     }
 
     /// Forgets the statistics of routes for which `keep` is false.
@@ -725,3 +725,11 @@
         self.stats
     }
 }
+
+fn late_limit(judge: &Judge, cfg: &OutlierCfg, route: RouteKey, peer: &Peer) -> Option<Duration> {
+    let max = match peer.ejection {
+        None => cfg.late_factor_max,
+        Some(_) => cfg.probe_factor_max,
+    };
+    judge.limit(cfg, route, peer.speed, max)
+}
