--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -11,6 +11,7 @@
 mod queue_target;
 mod schedule;
 mod straggler;
+mod wall;
 
 use std::process::ExitCode;
 
@@ -20,11 +21,12 @@
 Run the benchmark cases and compare each figure with its bound.
 
 Usage:
-    bench [--check] [--wall] [--baseline] [--seed N] [--json FILE]
+    bench [--check] [--wall [--nodes LIST]] [--baseline] [--seed N] [--json FILE]
 
 Options:
     --check      Run the deterministic cases on a virtual clock; exit 1 beyond a bound.
     --wall       Run the cases with real sockets on loopback; print bounds, never fail.
+    --nodes LIST Sizes of the convergence cases [default: 12,50,100,200].
     --baseline   Run the same load under simple baseline policies, side by side.
     --seed N     Seed of the arrivals and the random choices [default: 1].
     --json FILE  Write the figures to FILE as JSON lines.
@@ -33,6 +35,8 @@
 #[derive(Debug)]
 struct Args {
     check: bool,
+    wall: bool,
+    nodes: Vec<usize>,
     baseline: bool,
     seed: u64,
     json: Option<String>,
@@ -44,7 +48,11 @@
         println!("{}", USAGE.trim());
         std::process::exit(0);
     }
+    let nodes: Option<String> = args.opt_value_from_str("--nodes")?;
+    let nodes = nodes.as_deref().unwrap_or("12,50,100,200");
     Ok(Args {
+        wall: args.contains("--wall"),
+        nodes: nodes.split(',').filter_map(|n| n.parse().ok()).collect(),
         check: args.contains("--check"),
         baseline: args.contains("--baseline"),
         seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
@@ -66,15 +74,21 @@
         figures.extend(crest::run(args.seed, args.baseline));
         figures.extend(straggler::run(args.seed, args.baseline));
     }
-    report(&figures, args.json.as_deref())
+    let wall = if args.wall {
+        wall::run(&args.nodes)
+    } else {
+        Vec::new()
+    };
+    report(&figures, &wall, args.json.as_deref())
 }
 
-fn report(figures: &[Figure], json: Option<&str>) -> ExitCode {
-    for f in figures {
+fn report(figures: &[Figure], wall: &[Figure], json: Option<&str>) -> ExitCode {
+    let all = || figures.iter().chain(wall);
+    for f in all() {
         println!("{f}");
     }
     if let Some(path) = json {
-        let lines: String = figures.iter().map(|f| f.to_json() + "\n").collect();
+        let lines: String = all().map(|f| f.to_json() + "\n").collect();
         if let Err(e) = std::fs::write(path, lines) {
             eprintln!("bench: cannot write {path}: {e}");
             return ExitCode::from(2);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -137,7 +137,7 @@
         Event::Applied(version)
     }
 
-    fn announce(&self, to: InstanceId, version: Version, digest: Digest) {
+    fn announce(&mut self, to: InstanceId, version: Version, digest: Digest) {
         let Some(addr) = self.shared.members.load().get(&to).map(|r| r.gossip) else {
             return;
         };
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -8,6 +8,8 @@
 use kameo::message::{Context, Message};
 use member::{Action, Change, Event, JoinAnswer, LocalState, Member, Record, Rumour, Scope, Table};
 use ops::{Metric, Metrics};
+use rand::rngs::Xoshiro256PlusPlus;
+use rand::{RngExt, SeedableRng};
 use route::View;
 use spread::Origin;
 use tokio::net::UdpSocket;
@@ -18,6 +20,7 @@
 use crate::datagram::Datagram;
 use crate::rpc::{self, JoinReply};
 use crate::services::Instance;
+use crate::settings::{Faults, Settings};
 use crate::shared::Shared;
 
 /// Seals, counts and sends datagrams.
@@ -26,23 +29,35 @@
     socket: Arc<UdpSocket>,
     keys: KeyRing,
     metrics: Arc<Metrics>,
+    faults: Faults,
+    rng: Xoshiro256PlusPlus,
 }
 
 impl Sender {
-    pub(crate) fn new(socket: Arc<UdpSocket>, keys: KeyRing, metrics: Arc<Metrics>) -> Sender {
+    pub(crate) fn new(
+        socket: Arc<UdpSocket>,
+        settings: &Settings,
+        metrics: Arc<Metrics>,
+    ) -> Sender {
         Sender {
             socket,
-            keys,
+            keys: settings.keys.clone(),
             metrics,
+            faults: settings.faults.clone(),
+            rng: Xoshiro256PlusPlus::seed_from_u64(settings.random_seed ^ settings.id().0),
         }
     }
 
     /// Sends without waiting. A datagram that the kernel can't take now is lost like any other.
-    pub(crate) fn send(&self, to: SocketAddr, datagram: &Datagram) {
+    pub(crate) fn send(&mut self, to: SocketAddr, datagram: &Datagram) {
         let Ok(buf) = self.keys.seal(datagram) else {
             self.metrics.count(Metric::DroppedOversized);
             return;
         };
+        let lost = self.faults.loss > 0.0 && self.rng.random_bool(self.faults.loss);
+        if lost || self.faults.is_cut(to) {
+            return;
+        }
         if self.socket.try_send_to(&buf, to).is_ok() {
             self.metrics.count(Metric::DatagramsOut);
             self.metrics.add(Metric::ControlBytesOut, buf.len() as u64);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,4 +34,4 @@
 pub use node::{Addresses, Node};
 pub use operator::{MemberReport, StateReport};
 pub use reader::{CONFIG_STREAM, fold_to_end};
-pub use settings::{Ports, Settings, SettingsError};
+pub use settings::{Cut, Faults, Ports, Settings, SettingsError};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -158,6 +158,11 @@
         self.shared.snapshot().version()
     }
 
+    /// Returns the number of live members in scope, the own one included.
+    pub fn members(&self) -> usize {
+        self.shared.members.load().len()
+    }
+
     /// Returns the number of members, the own one included, that take work.
     pub fn ready_members(&self) -> usize {
         let members = self.shared.members.load();
@@ -224,8 +229,7 @@
 
     fn start_actors(&mut self, bound: &Bound, stopped: &watch::Receiver<bool>) {
         let s = &self.shared;
-        let keys = s.settings.keys.clone();
-        let sender = Sender::new(bound.gossip.clone(), keys, s.metrics.clone());
+        let sender = Sender::new(bound.gossip.clone(), &s.settings, s.metrics.clone());
         let seed = s.settings.random_seed ^ s.id.0;
         let (gossip_wake, control_wake, claim_wake) = (
             watch::Sender::new(Time::MAX),
--- a/crates/node/src/rpc.rs
+++ b/crates/node/src/rpc.rs
@@ -255,6 +255,9 @@
     Q: Serialize,
     R: DeserializeOwned,
 {
+    if shared.settings.faults.is_cut(to) {
+        return Err(RpcError::Timeout);
+    }
     let keys = &shared.settings.keys;
     let sealed = Sealed::new(keys, asked, req)?;
     shared.metrics.add(Metric::ControlBytesOut, sealed.bytes());
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a node: raw TOML to checked values.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use ops::{LogFormat, Statsd, TraceCfg};
@@ -151,6 +152,33 @@
     pub operator: u16,
 }
 
+/// Decides whether traffic with an address is cut.
+pub type Cut = Arc<dyn Fn(SocketAddr) -> bool + Send + Sync>;
+
+/// Faults of the network between nodes, for benchmarks and tests. No key of the settings file sets
+/// them.
+#[derive(Clone, Default)]
+pub struct Faults {
+    /// Share of sent datagrams that are lost, from 0 to 1.
+    pub loss: f64,
+    /// Addresses of control traffic that can't be reached.
+    pub cut: Option<Cut>,
+}
+
+impl Faults {
+    pub(crate) fn is_cut(&self, addr: SocketAddr) -> bool {
+        self.cut.as_ref().is_some_and(|cut| cut(addr))
+    }
+}
+
+impl std::fmt::Debug for Faults {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Faults")
+            .field("loss", &self.loss)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Checked settings of a node.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -187,6 +215,8 @@
     pub statsd: Option<Statsd>,
     /// Shape of log lines.
     pub log_format: LogFormat,
+    /// Faults of the network between nodes.
+    pub faults: Faults,
 }
 
 impl Settings {
@@ -246,6 +276,7 @@
             } else {
                 LogFormat::Text
             },
+            faults: Faults::default(),
             mesh: raw.mesh,
             name: raw.name,
             service: raw.service.as_str().into(),
