Tell two lives with one incarnation apart, and limit what peers can claim

Exchanges of tables couldn't help, since neither record is newer. Ruled out: an order between the two records; the older life could win. Changed: a member that hears a different record under the same incarnation sends its own one to the instance, which takes the next incarnation. Incarnations, epochs and names beyond a limit are refused on decoding, so a faulty peer can't use up the numbers. Added tests of limits, scope and joins and the example that prints traffic and memory.

--- /dev/null
+++ b/crates/member/examples/cost.rs
@@ -0,0 +1,152 @@
+//! Prints the traffic and the memory of the membership protocol.
+//!
+//! Bytes are those of sealed datagrams, without the headers of UDP and IP. The clock is virtual, so
+//! all figures but the memory depend on the seed only.
+
+#[path = "../tests/net/mod.rs"]
+mod net;
+
+use std::time::Duration;
+
+use member::{Config, Member, State, Table};
+use net::{Faults, Net, Traffic, record};
+use wire::Time;
+
+const SEED: u64 = 1;
+const SIZES: [usize; 5] = [12, 50, 100, 200, 400];
+const LOSSES: [f64; 2] = [0.0, 0.05];
+/// Time for which traffic is counted.
+const WINDOW: Duration = Duration::from_secs(60);
+/// Time after the start of the mesh in which its updates finish travelling.
+const CALM: Duration = Duration::from_secs(120);
+/// Interval of publications at 78,000 changes a day.
+const PUBLICATION: Duration = Duration::from_millis(1_108);
+/// Records loaded for the memory figure.
+const RECORDS: usize = 20_000;
+
+fn main() {
+    // First, so that memory freed by the other parts doesn't hide what the records take.
+    memory();
+    println!("\nsteady state, all services in scope, 0.9 publications/s, seed {SEED}");
+    println!("members  loss  messages/s/node  bytes/s/node  suspicions  deaths  exchanges");
+    for loss in LOSSES {
+        for n in SIZES {
+            steady(n, loss);
+        }
+    }
+    println!("\none restart at no loss: bytes above the steady state, whole mesh");
+    println!("members  kind   datagrams     bytes  bytes/node  table transfer bytes");
+    for n in SIZES {
+        let quiet = window(n, |net| net.run(Duration::from_secs(3)));
+        for graceful in [false, true] {
+            restart(n, graceful, quiet);
+        }
+    }
+}
+
+fn calm(n: usize, loss: f64) -> Net {
+    let faults = Faults {
+        loss,
+        ..Faults::default()
+    };
+    let mut net = Net::ready(n, SEED, faults);
+    net.run(CALM);
+    net
+}
+
+fn steady(n: usize, loss: f64) {
+    let mut net = calm(n, loss);
+    let counters = |net: &Net| {
+        let all = net.nodes.iter().map(|node| node.member.counters());
+        all.fold((0, 0, 0), |a, c| {
+            (a.0 + c.suspicions, a.1 + c.deaths, a.2 + c.exchanges)
+        })
+    };
+    let (before, start) = (counters(&net), net.now);
+    net.traffic = Traffic::default();
+    let mut version = 1;
+    while net.now - start < WINDOW {
+        version += 1;
+        for i in 0..n {
+            net.publish(i, version);
+        }
+        net.run(PUBLICATION);
+    }
+    let after = counters(&net);
+    let per_node = |count: u64| count as f64 / (net.now - start).as_secs_f64() / n as f64;
+    println!(
+        "{n:7}  {loss:4.2}  {:15.2}  {:12.1}  {:10}  {:6}  {:9}",
+        per_node(net.traffic.messages),
+        per_node(net.traffic.bytes),
+        after.0 - before.0,
+        after.1 - before.1,
+        after.2 - before.2,
+    );
+}
+
+/// Restarts one instance and prints the difference to the same time without a restart.
+fn restart(n: usize, graceful: bool, quiet: Traffic) {
+    let busy = window(n, |net| {
+        if graceful {
+            net.set_state(n / 2, State::Draining);
+            net.run(Duration::from_secs(1));
+            net.set_state(n / 2, State::Left);
+        }
+        net.run(Duration::from_millis(100));
+        net.kill(n / 2);
+        net.run(Duration::from_secs(1));
+        net.start(n / 2);
+        net.run(Duration::from_millis(
+            900 + if graceful { 0 } else { 1_000 },
+        ));
+        net.set_state(n / 2, State::Ready);
+    });
+    let bytes = busy.bytes as f64 - quiet.bytes as f64;
+    println!(
+        "{n:7}  {}  {:9}  {bytes:8}  {:10.0}  {:20}",
+        if graceful { "clean" } else { "crash" },
+        busy.messages as i64 - quiet.messages as i64,
+        bytes / n as f64,
+        busy.table_bytes - quiet.table_bytes,
+    );
+}
+
+fn window(n: usize, act: impl Fn(&mut Net)) -> Traffic {
+    let mut net = calm(n, 0.0);
+    net.traffic = Traffic::default();
+    act(&mut net);
+    net.run(WINDOW);
+    net.traffic
+}
+
+/// Prints the size of a record on the wire and, where the system tells it, in memory.
+fn memory() {
+    let before = resident_bytes();
+    let mut m = Member::new(Config::default(), record(0, 0), SEED);
+    let mut wire = 0;
+    for i in 1..=RECORDS {
+        let r = record(i, 1_700_000_000);
+        wire += postcard::to_stdvec(&r).unwrap().len();
+        let table = Table {
+            records: vec![r],
+            dead: Vec::new(),
+        };
+        m.merge(Time::ZERO, table);
+    }
+    println!("record on the wire: {} bytes", wire / RECORDS);
+    let (Some(before), Some(after)) = (before, resident_bytes()) else {
+        return println!("record in memory: not known on this system");
+    };
+    let kept = m.sizes();
+    println!(
+        "record in memory: {} bytes resident each, history and allocator included ({kept:?})",
+        (after - before) / kept.records,
+    );
+}
+
+fn resident_bytes() -> Option<usize> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|l| l.starts_with("VmRSS:"))?;
+    let kib: usize = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kib * 1_024)
+}
--- a/crates/member/src/detect.rs
+++ b/crates/member/src/detect.rs
@@ -209,7 +209,7 @@
         let domain = e.record.domain.clone();
         let silent = self.is_silent(e, s);
         if silent && self.is_domain_lost(&domain) {
-            self.set_domain(&domain, self.domains.epoch(&domain) + 1);
+            self.set_domain(&domain, self.domains.epoch(&domain).saturating_add(1));
             return;
         }
         let latest = s.since + self.suspicion_time() * SILENT_EXTENSION;
@@ -254,7 +254,7 @@
     pub(crate) fn note_heard(&mut self, domain: &Domain) {
         self.domains.note_heard(self.now, domain);
         if self.domains.is_down(domain) {
-            self.set_domain(domain, self.domains.epoch(domain) + 1);
+            self.set_domain(domain, self.domains.epoch(domain).saturating_add(1));
         }
     }
 
--- a/crates/member/src/event.rs
+++ b/crates/member/src/event.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 use wire::{Domain, Incarnation, InstanceId, ServiceName, Version};
 
-use crate::message::{Msg, Rumour};
-use crate::record::{Record, State, WireError, check_count, check_name};
+use crate::message::{Msg, Rumour, check_domain};
+use crate::record::{Record, State, WireError, check_count, check_incarnation};
 
 /// Most records or tombstones in one table on the wire.
 pub const MAX_TABLE_RECORDS: usize = 32_768;
@@ -148,6 +148,9 @@
     fn try_from(raw: RawTable) -> Result<Table, WireError> {
         check_count(raw.records.len(), MAX_TABLE_RECORDS)?;
         check_count(raw.dead.len(), MAX_TABLE_RECORDS)?;
+        for t in &raw.dead {
+            check_incarnation(t.incarnation)?;
+        }
         Ok(Table {
             records: raw.records,
             dead: raw.dead,
@@ -202,8 +205,9 @@
     fn try_from(raw: RawJoinAnswer) -> Result<JoinAnswer, WireError> {
         check_count(raw.contacts.len(), MAX_TABLE_RECORDS)?;
         check_count(raw.domains.len(), MAX_TABLE_RECORDS)?;
-        for (domain, _) in &raw.domains {
-            check_name("domain", &domain.0)?;
+        raw.incarnation.map_or(Ok(()), check_incarnation)?;
+        for (domain, epoch) in &raw.domains {
+            check_domain(domain, *epoch)?;
         }
         Ok(JoinAnswer {
             floor: raw.floor,
--- a/crates/member/src/gossip.rs
+++ b/crates/member/src/gossip.rs
@@ -9,7 +9,7 @@
 use crate::history::Rank;
 use crate::machine::{Member, Peer};
 use crate::message::{Body, MAX_MSG_BYTES, Msg, Update, encoded_bytes};
-use crate::record::State;
+use crate::record::Record;
 use crate::table::Entry;
 
 /// Receivers outside the own failure domain when an update is passed on. Its origin has already
@@ -36,13 +36,10 @@
         self.out.push(Action::Send { to, msg });
     }
 
-    /// Sends the own record to a member that asked for it.
-    pub(crate) fn send_record(&mut self, to: SocketAddr, id: InstanceId) {
-        if self.own.state == State::Left {
-            return;
-        }
+    /// Sends one record.
+    pub(crate) fn send_record(&mut self, to: SocketAddr, id: InstanceId, record: Record) {
         let mut msg = self.empty_msg(Body::Push);
-        msg.updates.push(Update::Alive(self.own.clone()));
+        msg.updates.push(Update::Alive(record));
         msg.updates.extend(self.notice(id, None));
         self.out.push(Action::Send { to, msg });
     }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -27,8 +27,8 @@
 };
 pub use machine::{Member, Sizes};
 pub use message::{
-    Body, MAX_MSG_BYTES, MAX_UPDATES, Msg, NODE_BYTES, RawMsg, Rumour, SEAL_HEADER_BYTES, Sync,
-    Update,
+    Body, MAX_EPOCH, MAX_MSG_BYTES, MAX_UPDATES, Msg, NODE_BYTES, RawMsg, Rumour,
+    SEAL_HEADER_BYTES, Sync, Update,
 };
-pub use record::{MAX_NAME_BYTES, MAX_SLOTS, RawRecord, Record, State, WireError};
+pub use record::{MAX_INCARNATION, MAX_NAME_BYTES, MAX_SLOTS, RawRecord, Record, State, WireError};
 pub use table::CONTACTS_PER_DOMAIN;
--- a/crates/member/src/machine.rs
+++ b/crates/member/src/machine.rs
@@ -242,7 +242,7 @@
             return;
         }
         self.counters.refutations += 1;
-        self.own.incarnation = Incarnation(incarnation.0.saturating_add(1));
+        self.own.incarnation = next(incarnation);
         self.announce();
     }
 
@@ -296,7 +296,7 @@
         }
         self.own.state = local.state;
         self.own.slots = local.slots;
-        self.own.incarnation.0 += 1;
+        self.own.incarnation = next(self.own.incarnation);
         self.announce();
     }
 
@@ -320,6 +320,10 @@
     }
 }
 
+fn next(incarnation: Incarnation) -> Incarnation {
+    Incarnation(incarnation.0.saturating_add(1))
+}
+
 /// Where to send a message to a member.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Peer {
@@ -346,8 +350,8 @@
             self.apply(u, true);
         }
         self.answer(from, msg.from, msg.incarnation, msg.body);
-        if msg.ask {
-            self.send_record(from, msg.from);
+        if msg.ask && self.own.state != State::Left {
+            self.send_record(from, msg.from, self.own.clone());
         }
     }
 
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use wire::{Domain, Fingerprint, Incarnation, InstanceId, MAX_DATAGRAM_BYTES, Version};
 
-use crate::record::{Record, WireError, check_count, check_name};
+use crate::record::{Record, WireError, check_count, check_incarnation, check_limit, check_name};
 
 /// Bytes that sealing adds in front of the payload.
 pub const SEAL_HEADER_BYTES: usize = 22;
@@ -16,6 +16,9 @@
 /// Most updates in one message.
 pub const MAX_UPDATES: usize = 64;
 
+/// Highest epoch of a failure domain accepted; see [`Update::Domain`].
+pub const MAX_EPOCH: u32 = 1 << 30;
+
 /// A message from one member to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "RawMsg", into = "RawMsg")]
@@ -140,11 +143,8 @@
 
     fn try_from(raw: RawMsg) -> Result<Msg, WireError> {
         check_count(raw.updates.len(), MAX_UPDATES)?;
-        for u in &raw.updates {
-            if let Update::Domain { domain, .. } = u {
-                check_name("domain", &domain.0)?;
-            }
-        }
+        check_incarnation(raw.incarnation)?;
+        raw.updates.iter().try_for_each(check_update)?;
         Ok(Msg {
             from: raw.from,
             incarnation: raw.incarnation,
@@ -171,6 +171,22 @@
     }
 }
 
+fn check_update(update: &Update) -> Result<(), WireError> {
+    match update {
+        Update::Suspect { incarnation, .. } | Update::Down { incarnation, .. } => {
+            check_incarnation(*incarnation)
+        }
+        Update::Domain { domain, epoch } => check_domain(domain, *epoch),
+        // Records are checked when they are decoded.
+        Update::Alive(_) | Update::Rumour(_) => Ok(()),
+    }
+}
+
+pub(crate) fn check_domain(domain: &Domain, epoch: u32) -> Result<(), WireError> {
+    check_name("domain", &domain.0)?;
+    check_limit("epoch", epoch.into(), MAX_EPOCH.into())
+}
+
 /// Returns the encoded size of `value` in bytes.
 pub(crate) fn encoded_bytes<T: Serialize>(value: &T) -> usize {
     let size = postcard::ser_flavors::Size::default();
--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -13,6 +13,10 @@
 /// Most slots that an instance may declare.
 pub const MAX_SLOTS: u32 = 65_536;
 
+/// Highest incarnation accepted. An instance takes the one after the highest that it hears of, so a
+/// faulty peer must not be able to use up the numbers.
+pub const MAX_INCARNATION: u64 = 1 << 62;
+
 /// Why a message or record from the wire was not accepted.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -31,6 +35,16 @@
         /// Declared slots.
         slots: u32,
     },
+    /// A counter is so high that it can't come from a working member.
+    #[snafu(display("{field} is {value}, allowed are at most {limit}"))]
+    TooHigh {
+        /// Field of the message.
+        field: &'static str,
+        /// Value of the field.
+        value: u64,
+        /// Limit of the field.
+        limit: u64,
+    },
     /// A list is longer than its limit.
     #[snafu(display("{count} entries, allowed are at most {limit}"))]
     TooMany {
@@ -132,6 +146,7 @@
         check_name("service", &raw.service.0)?;
         check_name("region", &raw.region)?;
         check_name("domain", &raw.domain.0)?;
+        check_incarnation(raw.incarnation)?;
         let slots = raw.slots;
         ensure!(slots <= MAX_SLOTS, TooManySlotsSnafu { slots });
         Ok(Record {
@@ -182,3 +197,17 @@
     ensure!(count <= limit, TooManySnafu { count, limit });
     Ok(())
 }
+
+pub(crate) fn check_incarnation(incarnation: Incarnation) -> Result<(), WireError> {
+    check_limit("incarnation", incarnation.0, MAX_INCARNATION)
+}
+
+pub(crate) fn check_limit(field: &'static str, value: u64, limit: u64) -> Result<(), WireError> {
+    let too_high = TooHighSnafu {
+        field,
+        value,
+        limit,
+    };
+    ensure!(value <= limit, too_high);
+    Ok(())
+}
--- a/crates/member/src/update.rs
+++ b/crates/member/src/update.rs
@@ -54,6 +54,7 @@
         }
         let standing = (r.incarnation, Rank::Alive);
         if !self.is_news(r.id, standing) {
+            self.report_conflict(&r);
             return false;
         }
         self.history.note(self.now, r.id, standing);
@@ -65,6 +66,17 @@
         true
     }
 
+    /// Two lives of an instance can use the same incarnation, when the later one started while those
+    /// that knew the earlier one were cut off. Only the instance can settle this, with the next
+    /// incarnation, so it gets the other record.
+    fn report_conflict(&mut self, r: &Record) {
+        let held = self.table.get(r.id).map(|e| &e.record);
+        let conflict = held.filter(|h| h.incarnation == r.incarnation && !h.same_life(r));
+        if let Some(held) = conflict.cloned() {
+            self.send_record(r.gossip, r.id, held);
+        }
+    }
+
     fn store(&mut self, r: Record) {
         let known = self.table.get(r.id).is_some();
         match self.table.insert(r.clone()) {
@@ -145,7 +157,7 @@
         let silent_for = self.domains.heard(domain).map(|at| self.now.since(at));
         let heard_within = |limit| silent_for.is_some_and(|t| t < limit);
         if *domain == self.own.domain || heard_within(self.cfg.probe_period * REFUTE_PERIODS) {
-            self.set_domain(domain, epoch + 1);
+            self.set_domain(domain, epoch.saturating_add(1));
         } else if heard_within(self.suspicion_time()) {
             // Too old to refute the claim and too recent to believe it; own probes will decide.
             return false;
--- /dev/null
+++ b/crates/member/tests/limits.rs
@@ -0,0 +1,319 @@
+//! Limits on what is accepted, kept and sent.
+
+mod net;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use member::{
+    Action, Body, CONTACTS_PER_DOMAIN, Change, Config, Event, JoinAnswer, MAX_EPOCH,
+    MAX_INCARNATION, MAX_MSG_BYTES, MAX_NAME_BYTES, MAX_SLOTS, MAX_UPDATES, Member, Msg,
+    NODE_BYTES, RawRecord, Record, Scope, Table, Update, WireError,
+};
+use net::{DOMAINS, Faults, Net, addr, domain, record};
+use proptest::prelude::{ProptestConfig, any, proptest};
+use proptest::test_runner::RngSeed;
+use wire::{Domain, Incarnation, InstanceId, KeyRing, MAX_DATAGRAM_BYTES, MeshKey, Time, Version};
+
+fn message(updates: Vec<Update>) -> Msg {
+    Msg {
+        from: InstanceId(u64::MAX),
+        incarnation: Incarnation(MAX_INCARNATION),
+        version: Version(u64::MAX),
+        digest_prefix: u32::MAX,
+        ask: true,
+        body: Body::Push,
+        updates,
+    }
+}
+
+fn received(m: &mut Member, now: Time, updates: Vec<Update>) -> Vec<Action> {
+    let (from, msg) = (addr(999, 1), message(updates));
+    m.handle(now, Event::Received { from, msg })
+}
+
+fn long_record() -> RawRecord {
+    let name = "n".repeat(MAX_NAME_BYTES);
+    let addr = "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535"
+        .parse()
+        .unwrap();
+    let mut raw = RawRecord::from(record(1, MAX_INCARNATION));
+    raw.version = Version(u64::MAX);
+    raw.digest_prefix = u32::MAX;
+    raw.slots = MAX_SLOTS;
+    raw.name = name.as_str().into();
+    raw.service = name.as_str().into();
+    raw.region = name.as_str().into();
+    raw.domain = name.as_str().into();
+    (raw.gossip, raw.rpc, raw.data) = (addr, addr, addr);
+    raw
+}
+
+/// Guards against records from the wire with names or numbers beyond the limits.
+#[gtest]
+fn records_beyond_a_limit_are_refused() {
+    type Edit = fn(&mut RawRecord);
+    let cases: [(&str, Edit, bool); 8] = [
+        ("longest names", |_| {}, true),
+        ("empty name", |r| r.name = "".into(), false),
+        (
+            "long name",
+            |r| r.name = "n".repeat(MAX_NAME_BYTES + 1).into(),
+            false,
+        ),
+        (
+            "long service",
+            |r| r.service = "n".repeat(65).as_str().into(),
+            false,
+        ),
+        ("long region", |r| r.region = "n".repeat(65).into(), false),
+        ("empty domain", |r| r.domain = "".into(), false),
+        ("incarnation", |r| r.incarnation.0 += 1, false),
+        ("slots", |r| r.slots = MAX_SLOTS + 1, false),
+    ];
+    for (what, change, good) in cases {
+        let mut raw = long_record();
+        change(&mut raw);
+        let bytes = postcard::to_stdvec(&raw).unwrap();
+        let decoded = postcard::from_bytes::<Record>(&bytes);
+        expect_that!(decoded.is_ok(), eq(good), "{what}");
+        expect_that!(Record::try_from(raw).is_ok(), eq(good), "{what}");
+    }
+}
+
+/// Guards against a message that makes its receiver handle an unbounded number of updates, and
+/// against one that uses up the epochs of a failure domain.
+#[gtest]
+fn messages_beyond_a_limit_are_refused() {
+    let suspect = Update::Suspect {
+        id: InstanceId(1),
+        incarnation: Incarnation(1),
+    };
+    for (count, good) in [(MAX_UPDATES, true), (MAX_UPDATES + 1, false)] {
+        let bytes = postcard::to_stdvec(&message(vec![suspect.clone(); count])).unwrap();
+        expect_that!(
+            postcard::from_bytes::<Msg>(&bytes).is_ok(),
+            eq(good),
+            "{count}"
+        );
+    }
+    let epoch = |epoch| {
+        vec![Update::Domain {
+            domain: domain(0),
+            epoch,
+        }]
+    };
+    for (epoch, good) in [(epoch(MAX_EPOCH), true), (epoch(MAX_EPOCH + 1), false)] {
+        let bytes = postcard::to_stdvec(&message(epoch)).unwrap();
+        expect_that!(postcard::from_bytes::<Msg>(&bytes).is_ok(), eq(good));
+    }
+    let error = WireError::TooMany {
+        count: 65,
+        limit: 64,
+    };
+    expect_that!(error.to_string(), eq("65 entries, allowed are at most 64"));
+}
+
+/// Guards against datagrams that leave no room for the node's own bytes, also with the longest
+/// records and with a full queue.
+#[gtest]
+fn every_message_fits_into_a_sealed_datagram() {
+    let keys = KeyRing::new("kilimanjaro", MeshKey::new(1, "secret"), None);
+    let mut m = Member::new(Config::default(), record(0, 0), 1);
+    let mut now = Time::from_millis(1);
+    let (mut sent, mut largest) = (0, 0);
+    for i in 0..400_usize {
+        let mut raw = long_record();
+        raw.name = format!("{i:064}").into();
+        raw.domain = domain(i);
+        let alive = Update::Alive(raw.try_into().unwrap());
+        let id = InstanceId(i as u64);
+        let suspect = Update::Suspect {
+            id,
+            incarnation: Incarnation(MAX_INCARNATION),
+        };
+        let mut actions = received(&mut m, now, vec![alive, suspect]);
+        actions.extend(m.handle(now, Event::Tick));
+        now = now + Duration::from_millis(100);
+        for a in actions {
+            if let Action::Send { msg, .. } = a {
+                let sealed = keys.seal(&msg).unwrap();
+                largest = largest.max(sealed.len());
+                sent += 1;
+                expect_that!(keys.open::<Msg>(&sealed), ok(eq(&msg)));
+            }
+        }
+    }
+    expect_that!(sent, gt(400));
+    expect_that!(largest, le(MAX_DATAGRAM_BYTES - NODE_BYTES));
+    expect_that!(largest, gt(MAX_MSG_BYTES / 2));
+}
+
+/// Guards against a member whose memory grows with the number of instances ever heard of.
+#[gtest]
+fn memory_is_bounded() {
+    let cfg = Config {
+        max_records: 50,
+        max_history: 100,
+        max_queue: 30,
+        ..Config::default()
+    };
+    let mut m = Member::new(cfg, record(0, 0), 1);
+    for i in 1..1_000 {
+        let now = Time::from_millis(i as u64);
+        let r = record(i, 3);
+        let (id, incarnation, version) = (InstanceId(i as u64), Incarnation(1), Version(1));
+        received(
+            &mut m,
+            now,
+            vec![
+                Update::Alive(r),
+                Update::Down {
+                    id,
+                    incarnation,
+                    version,
+                },
+            ],
+        );
+    }
+    let sizes = m.sizes();
+    expect_that!(sizes.records, eq(50));
+    expect_that!(sizes.history, eq(100));
+    expect_that!(sizes.queue, le(30));
+    expect_that!(m.counters().dropped, gt(900));
+}
+
+/// Guards against a node that stores the whole mesh when its scope is small, and against a service
+/// of which no member is known when it enters the scope.
+#[gtest]
+fn full_records_are_kept_only_in_scope() {
+    let mut m = Member::new(Config::default(), record(0, 0), 1);
+    let own = m.own().service.clone();
+    let scope = Scope::Services([own.clone(), "svc-7".into()].into());
+    m.handle(Time::ZERO, Event::Interest(scope.clone()));
+    let mut reported = Vec::new();
+    for i in 1..=600 {
+        let mut raw = RawRecord::from(record(i, 0));
+        raw.service = format!("svc-{}", i / DOMAINS % 20).as_str().into();
+        let update = Update::Alive(raw.try_into().unwrap());
+        let actions = received(&mut m, Time::from_millis(i as u64), vec![update]);
+        reported.extend(actions.into_iter().filter_map(|a| match a {
+            Action::Changed(Change::Up(r)) => Some(r),
+            _ => None,
+        }));
+    }
+    expect_that!(reported.len(), eq(30));
+    expect_that!(
+        reported.iter().all(|r| scope.contains(&r.service)),
+        eq(true)
+    );
+    expect_that!(m.records().count(), eq(30));
+    let contacts: Vec<&Record> = m.peers().filter(|r| !scope.contains(&r.service)).collect();
+    expect_that!(contacts.len(), le(CONTACTS_PER_DOMAIN * DOMAINS + 19));
+    for d in 0..DOMAINS {
+        let here = contacts.iter().filter(|r| r.domain == domain(d)).count();
+        expect_that!(here, ge(CONTACTS_PER_DOMAIN), "domain {d}");
+    }
+    let now = Time::from_millis(601);
+    let wider = Scope::Services([own, "svc-7".into(), "svc-9".into()].into());
+    let actions = m.handle(now, Event::Interest(wider));
+    let exchange = actions.iter().find_map(|a| match a {
+        Action::Exchange { with } => m.record(*with),
+        _ => None,
+    });
+    expect_that!(exchange.map(|r| &*r.service.0), some(eq("svc-9")));
+}
+
+/// Guards against an answer to a join that lacks what the asker needs.
+#[gtest]
+fn a_join_answer_has_the_scope_contacts_and_floor() {
+    let net = Net::ready(30, 2, Faults::default());
+    let asker = record(29, 0);
+    let scope = Scope::Services([asker.service.clone()].into());
+    let answer = net.nodes[0].member.join_answer(asker.id, &scope);
+    let in_scope = (0..30)
+        .filter(|&i| record(i, 0).service == asker.service)
+        .count();
+    expect_that!(answer.table.records.len(), eq(in_scope));
+    expect_that!(answer.contacts.len(), ge(CONTACTS_PER_DOMAIN * DOMAINS));
+    expect_that!(
+        answer.contacts.iter().all(|r| r.service != asker.service),
+        eq(true)
+    );
+    expect_that!(answer.incarnation, some(eq(Incarnation(1))));
+    expect_that!(answer.floor, eq(Version(1)));
+    let bytes = postcard::to_stdvec(&answer).unwrap();
+    expect_that!(postcard::from_bytes::<JoinAnswer>(&bytes), ok(eq(&answer)));
+}
+
+/// Guards against tombstones that are kept for ever.
+#[gtest]
+fn tombstones_expire() {
+    let mut m = Member::new(Config::default(), record(0, 0), 1);
+    let (id, incarnation, version) = (InstanceId(5), Incarnation(1), Version(3));
+    received(
+        &mut m,
+        Time::ZERO,
+        vec![Update::Down {
+            id,
+            incarnation,
+            version,
+        }],
+    );
+    let dead = |m: &Member| m.table(&m.own().service).dead.len();
+    let mut now = Time::ZERO;
+    for (seconds, expected) in [(500, 1), (620, 0)] {
+        while now < Time::from_millis(seconds * 1_000) {
+            now = now + Duration::from_secs(1);
+            m.handle(now, Event::Tick);
+        }
+        expect_that!(dead(&m), eq(expected), "after {seconds} s");
+    }
+    expect_that!(m.floor(id), eq(version));
+}
+
+/// Guards against a table from a member that was out of touch overriding newer knowledge.
+#[gtest]
+fn merging_an_old_table_changes_nothing() {
+    let mut m = Member::new(Config::default(), record(0, 0), 1);
+    let new = Table {
+        records: vec![record(1, 5)],
+        dead: Vec::new(),
+    };
+    let old = Table {
+        records: vec![record(1, 4)],
+        dead: Vec::new(),
+    };
+    let changed = |a: Vec<Action>| a.iter().filter(|a| matches!(a, Action::Changed(_))).count();
+    expect_that!(changed(m.merge(Time::ZERO, new.clone())), eq(1));
+    expect_that!(changed(m.merge(Time::ZERO, new)), eq(0));
+    expect_that!(changed(m.merge(Time::ZERO, old)), eq(0));
+    expect_that!(m.records().next().unwrap().incarnation, eq(Incarnation(5)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(5),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a panic on bytes of a faulty peer, and on domains that it invents.
+    #[test]
+    fn arbitrary_bytes_do_no_harm(bytes: Vec<u8>, epoch in any::<u32>(), inc in any::<u64>()) {
+        _ = postcard::from_bytes::<Msg>(&bytes);
+        let mut m = Member::new(Config::default(), record(0, inc % MAX_INCARNATION), 1);
+        let updates = vec![
+            Update::Domain { domain: Domain::from("dar-9"), epoch },
+            Update::Domain { domain: domain(0), epoch },
+            Update::Suspect { id: record(0, 0).id, incarnation: Incarnation(inc) },
+            Update::Down {
+                id: record(0, 0).id,
+                incarnation: Incarnation(MAX_INCARNATION),
+                version: Version(1),
+            },
+        ];
+        received(&mut m, Time::ZERO, updates);
+    }
+}
--- a/crates/member/tests/mesh.rs
+++ b/crates/member/tests/mesh.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use member::{Body, Change, Event, Msg, Rumour, State, Update};
+use member::{Body, Change, Event, Msg, Rumour, Scope, State, Update};
 use net::{Faults, Net, addr, domain, record};
 use proptest::prelude::{ProptestConfig, any, prop_oneof, proptest};
 use proptest::strategy::Strategy;
@@ -52,6 +52,8 @@
     Start(usize),
     Pause(usize, u64),
     Set(usize, State),
+    Cut(usize),
+    Heal,
     Wait(u64),
 }
 
@@ -68,6 +70,8 @@
         (0..n).prop_map(Step::Start),
         (0..n, 1..40_u64).prop_map(|(i, s)| Step::Pause(i, s)),
         (0..n, state()).prop_map(|(i, s)| Step::Set(i, s)),
+        (0..3_usize).prop_map(Step::Cut),
+        proptest::strategy::Just(Step::Heal),
         (0..20_000_u64).prop_map(Step::Wait),
     ]
 }
@@ -88,6 +92,8 @@
                 net.kill(i);
             }
         }
+        Step::Cut(d) => _ = net.cut.insert(domain(d)),
+        Step::Heal => net.cut.clear(),
         Step::Wait(ms) => net.run(Duration::from_millis(ms)),
         Step::Pause(..) | Step::Set(..) => {}
     }
@@ -97,7 +103,7 @@
     #![proptest_config(config(48, 11))]
 
     /// Guards against live members that stay down or unknown, and dead ones that stay up, after
-    /// any sequence of kills, restarts, pauses and drains over a network that loses, doubles and
+    /// any sequence of kills, restarts, pauses, drains and cuts over a network that loses, doubles and
     /// reorders messages.
     #[test]
     fn views_become_true_after_any_faults(
@@ -110,11 +116,52 @@
             run_step(&mut net, s);
         }
         net.faults = Faults { loss: 0.0, ..ROUGH };
+        net.cut.clear();
         let settled = net.settle(SETTLE);
         proptest::prop_assert!(settled.is_ok(), "{settled:?}");
     }
 }
 
+/// Guards against two lives of an instance that use the same incarnation, so that members which
+/// were cut off keep the record of the earlier life.
+#[gtest]
+fn two_lives_with_one_incarnation_are_told_apart() {
+    let mut net = Net::ready(9, 7_756_953_041_471_277_229, NONE);
+    net.faults = ROUGH;
+    let steps = [Step::Kill(8), Step::Cut(1), Step::Cut(0), Step::Wait(6_384)];
+    for s in steps
+        .into_iter()
+        .chain([Step::Pause(7, 37), Step::Start(2), Step::Heal])
+    {
+        run_step(&mut net, s);
+    }
+    net.faults.loss = 0.0;
+    expect_that!(net.settle(SETTLE), ok(anything()));
+}
+
+/// Guards against updates that stop at members which don't keep the record themselves.
+#[gtest]
+fn a_change_of_state_crosses_members_out_of_scope() {
+    for seed in 0..5 {
+        let mut net = Net::ready(60, seed, LOSSY);
+        for i in 0..60 {
+            let own = net.nodes[i].member.own().service.clone();
+            net.handle(i, Event::Interest(Scope::Services([own].into())));
+        }
+        net.run(secs(30));
+        net.set_state(31, State::Draining);
+        let took = net.spread_time(31, State::Draining, secs(3));
+        expect_that!(took, some(anything()), "seed {seed}");
+        net.kill(31);
+        net.run(secs(30));
+        let id = record(31, 0).id;
+        let kept = net
+            .live()
+            .filter(|&i| net.nodes[i].member.record(id).is_some());
+        expect_that!(kept.count(), eq(0), "seed {seed}");
+    }
+}
+
 /// Guards against a joining member that is not learnt by everyone.
 #[gtest]
 fn a_fresh_mesh_becomes_complete() {
