--- a/crates/member/src/update.rs
+++ b/crates/member/src/update.rs
@@ -1,6 +1,6 @@
 //! What an update changes.
 
-use wire::{Domain, Incarnation, InstanceId};
+use wire::{Domain, Incarnation, InstanceId, Version};
 
 use crate::event::{Action, Change};
 use crate::history::{Rank, Standing};
@@ -23,10 +23,7 @@
                 id,
                 incarnation,
                 version,
-            } => {
-                self.history.note_version(id, version);
-                self.apply_down(id, incarnation, relay)
-            }
+            } => self.apply_death(id, incarnation, version, relay),
             Update::Domain { domain, epoch } => self.apply_domain(&domain, epoch),
             Update::Rumour(r) => self.apply_rumour(r),
         };
@@ -54,6 +51,7 @@
         }
         let standing = (r.incarnation, Rank::Alive);
         if !self.is_news(r.id, standing) {
+            self.report_conflict(&r);
             return false;
         }
         self.history.note(self.now, r.id, standing);
@@ -65,6 +63,17 @@
         true
     }
 
+    /// Two lives of an instance can use the same incarnation, when the later one started while those
+    /// that knew the earlier one were cut off. Only the instance can settle this, with the next
+    /// incarnation, so it gets the other record.
+    fn report_conflict(&mut self, r: &Record) {
+        let held = self.table.get(r.id).map(|e| &e.record);
+        let conflict = held.filter(|h| h.incarnation == r.incarnation && !h.same_life(r));
+        if let Some(held) = conflict.cloned() {
+            self.send_record(r.gossip, r.id, held);
+        }
+    }
+
     fn store(&mut self, r: Record) {
         let known = self.table.get(r.id).is_some();
         match self.table.insert(r.clone()) {
@@ -100,6 +109,38 @@
         true
     }
 
+    /// Applies a death with the last version heard. A higher version than the one known is passed on
+    /// even if the death is known, so that all members get to the highest version that any of them
+    /// heard from the instance.
+    fn apply_death(
+        &mut self,
+        id: InstanceId,
+        incarnation: Incarnation,
+        version: Version,
+        relay: bool,
+    ) -> bool {
+        let raised = version > self.history.floor(id);
+        self.history.note_version(id, version);
+        if self.apply_down(id, incarnation, relay) {
+            return true;
+        }
+        let known = self.standing(id) == Some((incarnation, Rank::Down));
+        if raised && known && relay {
+            self.enqueue_down(id, incarnation);
+        }
+        raised && known
+    }
+
+    fn enqueue_down(&mut self, id: InstanceId, incarnation: Incarnation) {
+        let version = self.history.floor(id);
+        let down = Update::Down {
+            id,
+            incarnation,
+            version,
+        };
+        self.enqueue(down, false);
+    }
+
     fn apply_down(&mut self, id: InstanceId, incarnation: Incarnation, relay: bool) -> bool {
         if id == self.own.id {
             self.heard_of_self(incarnation, true);
@@ -114,15 +155,7 @@
             self.report(Change::Down(id));
         }
         if relay {
-            let version = self.history.floor(id);
-            self.enqueue(
-                Update::Down {
-                    id,
-                    incarnation,
-                    version,
-                },
-                false,
-            );
+            self.enqueue_down(id, incarnation);
         }
         true
     }
@@ -145,7 +178,7 @@
         let silent_for = self.domains.heard(domain).map(|at| self.now.since(at));
         let heard_within = |limit| silent_for.is_some_and(|t| t < limit);
         if *domain == self.own.domain || heard_within(self.cfg.probe_period * REFUTE_PERIODS) {
-            self.set_domain(domain, epoch + 1);
+            self.set_domain(domain, epoch.saturating_add(1));
         } else if heard_within(self.suspicion_time()) {
             // Too old to refute the claim and too recent to believe it; own probes will decide.
             return false;
