Count nodes without a target as log readers

Cause: the spread was told only members whose target takes work, so on a mesh whose targets are down each node took itself for one of two readers. Also the target stand-in slept a timer tick for work of zero.

--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -231,7 +231,11 @@
         .work_ms
         .map_or(shared.cfg.base_work, Duration::from_millis);
     let factor = *shared.slow.lock();
-    tokio::time::sleep(base.mul_f64(factor)).await;
+    let work = base.mul_f64(factor);
+    // The timer's resolution is a millisecond, so even an empty sleep takes that long.
+    if !work.is_zero() {
+        tokio::time::sleep(work).await;
+    }
     running.finish();
     drop(slot);
     answer(&path, received, &params)
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -8,6 +8,7 @@
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
+use member::State;
 use spread::{
     Action, ConfigText, Contact, Event, FetchError, JoinAnswer, Origin, Peer, Spread, Status,
 };
@@ -280,7 +281,8 @@
         let peer = |r: &member::Record| Peer {
             id: r.id,
             domain: r.domain.clone(),
-            ready: r.state == member::State::Ready,
+            // A node serves configuration whether its target takes work or not.
+            ready: !matches!(r.state, State::Draining | State::Left),
         };
         let members = self.shared.members.load_full();
         let peers = members.values().filter(|r| r.id != own).map(peer).collect();
