Count the reads of the log stand-in by stream

The count mixed the publication stream with the claim streams, and counted a long poll again whenever any stream changed. It now counts answered reads by stream, so that the cost of a return of many nodes can be measured.

--- a/crates/fakes/src/log.rs
+++ b/crates/fakes/src/log.rs
@@ -1,6 +1,6 @@
 //! Stand-in for the platform's append-only log, with faults.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -62,7 +62,7 @@
     streams: HashMap<String, Stream>,
     faults: LogFaults,
     appends: u64,
-    reads: u64,
+    reads: BTreeMap<String, u64>,
 }
 
 /// An in-memory log. Clones share their content.
@@ -103,9 +103,9 @@
         self.inner.lock().appends
     }
 
-    /// Returns the number of read calls answered so far.
-    pub fn reads(&self) -> u64 {
-        self.inner.lock().reads
+    /// Returns the number of read calls answered so far, by stream.
+    pub fn reads(&self) -> BTreeMap<String, u64> {
+        self.inner.lock().reads.clone()
     }
 
     fn append_now(&self, stream: &str, records: Vec<Vec<u8>>) -> Result<Offset, LogError> {
@@ -132,7 +132,7 @@
     }
 
     fn read_now(&self, stream: &str, from: Offset) -> Result<Batch, LogError> {
-        let mut inner = self.inner.lock();
+        let inner = self.inner.lock();
         if inner.faults.down {
             return Err(LogError::Refused { status: 503 });
         }
@@ -161,7 +161,6 @@
             oldest: Offset(s.oldest),
             end: Offset(s.end()),
         };
-        inner.reads += 1;
         Ok(batch)
     }
 
@@ -189,6 +188,8 @@
             let batch = self.read_now(stream, from)?;
             let waited = tokio::time::timeout_at(until, changed.changed());
             if !batch.records.is_empty() || waited.await.is_err() {
+                let mut inner = self.inner.lock();
+                *inner.reads.entry(stream.to_owned()).or_default() += 1;
                 return Ok(batch);
             }
         }
@@ -294,7 +295,8 @@
 #[derive(Debug, Serialize)]
 struct Counts {
     appends: u64,
-    reads: u64,
+    /// Answered reads by stream.
+    reads: BTreeMap<String, u64>,
 }
 
 async fn append(
