Report readiness and version of one moment

A node that got ready meanwhile was shown as ready with version 0, which tests/versions.rs saw as a version that went down across a restart.

--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -92,7 +92,6 @@
 
 pub(crate) async fn report(shared: &Shared) -> StateReport {
     let now = shared.clock.now();
-    let snapshot = shared.snapshot();
     let ejected: BTreeSet<_> = shared
         .services
         .all()
@@ -121,11 +120,15 @@
         LogState::Down => "down",
         LogState::Behind(_) => "behind",
     };
+    let members = shared.all_members().await;
+    // A node that gets ready meanwhile must not be shown as ready with the version before.
+    let ready = shared.is_ready();
+    let snapshot = shared.snapshot();
     StateReport {
         name: shared.settings.name.clone(),
         service: shared.settings.service.to_string(),
         domain: shared.settings.domain.to_string(),
-        ready: shared.is_ready(),
+        ready,
         draining: shared.is_draining(),
         version: snapshot.version().0,
         digest: snapshot.digest().to_string(),
@@ -135,7 +138,7 @@
         log_reader: spread.reader,
         target: phase.to_owned(),
         load: shared.gate.load(),
-        members: shared.all_members().await.iter().map(member).collect(),
+        members: members.iter().map(member).collect(),
         quarantined: shared
             .quarantined()
             .iter()
