Ask peers before the log at a start, and prove versions and membership under faults

A starting node read the log until it was ready, so a return of many nodes read it once per node. Now it asks a node that follows the log. Only a read after the start of the asking node covers what was active there before, so an age spread along with the versions was ruled out: it would let a node that adopted a version just before its death come back below it. A node that becomes a reader starts to read 2 s later, because nodes that return together learn of each other's readiness one by one.

Faults found by the tests with real processes, and fixed: - A node that was ready by the log before any seed listened never asked again and stayed out of the mesh. It now asks until it has met the others. - A part of the log, read before an outage, could make a node ready with a version below the one it had, when all its peers had restarted too. Without the end of the log a peer with a version has to answer. - The answer to a join reached the spread before the members in it, so that a node could trust a peer that was behind without asking the others. - The actors of spread and membership each waited for room in the other's mailbox. The scope of a version now goes through the watcher of local state. - A reader that was stopped between applying and reporting did not report. - Garbage on the port for transfers was not counted, and connections that send nothing held all places for 2 s. They are closed after 200 ms.

Two tests of spread counted all actions where they meant questions or fetches; they now count these, since the start of reading has moved to a later event.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -15,8 +15,8 @@
 use wire::{Digest, InstanceId, Time, Version};
 
 use crate::datagram::{Active, Datagram};
-use crate::gossip::{Joined, Sender, SetScope};
-use crate::rpc::{self, FetchReply, FetchRequest, Payload};
+use crate::gossip::{Joined, Sender};
+use crate::rpc::{self, FetchReply, FetchRequest, JoinReply, Payload};
 use crate::shared::Shared;
 
 /// Earlier texts kept as bases of deltas. A node that is further behind gets the whole text.
@@ -95,6 +95,7 @@
                 self.read_log.send_replace(on);
             }
             Action::Join { to } => self.start_join(to, me),
+            Action::Confirm { to } => self.start_confirm(to, me),
             Action::Announce {
                 to,
                 version,
@@ -127,13 +128,7 @@
             self.texts.pop_front();
         }
         self.deltas.clear();
-        self.shared.set_snapshot(snapshot.clone());
-        if let Some(links) = self.shared.links.get() {
-            let _ = links
-                .gossip
-                .tell(SetScope(self.shared.scope(&snapshot)))
-                .await;
-        }
+        self.shared.set_snapshot(snapshot);
         Event::Applied(version)
     }
 
@@ -167,21 +162,33 @@
                 let _ = me.tell(SpreadEvent(Event::JoinFailed { to })).await;
                 return;
             };
-            let (from, active) = (reply.from, reply.active);
-            let floor = reply.member.floor;
+            let answer = answer(&reply);
+            // Waits until the new members have been passed on to the spread, which has to ask them
+            // too before it trusts this answer.
             if let Some(links) = shared.links.get() {
-                let _ = links.gossip.tell(Joined(reply.member)).await;
+                let _ = links.gossip.ask(Joined(reply.member)).await;
             }
-            let answer = JoinAnswer {
-                from,
-                version: active.version,
-                digest: active.digest,
-                floor,
-            };
             let _ = me.tell(SpreadEvent(Event::Joined { to, answer })).await;
         });
     }
 
+    fn start_confirm(&self, to: InstanceId, me: &ActorRef<Self>) {
+        let (shared, me) = (self.shared.clone(), me.clone());
+        let addr = shared.members.load().get(&to).map(|r| r.rpc);
+        self.shared.tasks.spawn(async move {
+            let reply = match addr {
+                Some(addr) => rpc::confirm(&shared, addr).await.ok(),
+                None => None,
+            };
+            let current = reply.and_then(|r| r.current);
+            let event = Event::Confirmed {
+                from: to,
+                current: current.map(|a| (a.version, a.digest)),
+            };
+            let _ = me.tell(SpreadEvent(event)).await;
+        });
+    }
+
     fn start_fetch(&self, from: InstanceId, have: Version, digest: Digest, me: &ActorRef<Self>) {
         let (shared, me) = (self.shared.clone(), me.clone());
         let addr = shared.members.load().get(&from).map(|r| r.rpc);
@@ -230,6 +237,16 @@
     }
 }
 
+fn answer(reply: &JoinReply) -> JoinAnswer {
+    JoinAnswer {
+        from: reply.from,
+        version: reply.active.version,
+        digest: reply.active.digest,
+        floor: reply.member.floor,
+        follows_log: reply.follows_log,
+    }
+}
+
 /// Returns the fetched text; a delta that doesn't give the promised digest counts as a failure,
 /// after which the whole text is asked for.
 fn unpack(reply: FetchReply, base: &str) -> Result<ConfigText, FetchError> {
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -231,6 +231,7 @@
             from: self.shared.id,
             active: self.shared.active(),
             member,
+            follows_log: self.shared.log_end.is_followed(),
         }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod gossip;
 mod headers;
 mod local;
+mod log_end;
 mod node;
 mod operator;
 mod peers;
--- a/crates/node/src/local.rs
+++ b/crates/node/src/local.rs
@@ -1,12 +1,16 @@
 //! Watches the own target and node and reports their state to membership.
+//!
+//! The scope of a new version goes this way too. The actor of the spread must not wait for that of
+//! membership, which waits for it: with both mailboxes full, neither would go on.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use config::Snapshot;
 use member::{LocalState, State};
 use tokio::sync::watch;
 
-use crate::gossip::SetLocal;
+use crate::gossip::{SetLocal, SetScope};
 use crate::shared::Shared;
 use crate::target::Phase;
 
@@ -16,8 +20,18 @@
 /// Reports each change until `stop`.
 pub(crate) async fn watch(shared: Arc<Shared>, mut stop: watch::Receiver<bool>) {
     let mut reported = None;
+    let mut scoped = None;
     while !*stop.borrow() {
-        let state = local_state(&shared);
+        let snapshot = shared.snapshot();
+        if scoped != Some(snapshot.version())
+            && let Some(links) = shared.links.get()
+        {
+            let scope = shared.scope(&snapshot);
+            if links.gossip.tell(SetScope(scope)).await.is_ok() {
+                scoped = Some(snapshot.version());
+            }
+        }
+        let state = local_state(&shared, &snapshot);
         if reported != Some(state)
             && let Some(links) = shared.links.get()
             && links.gossip.tell(SetLocal(state)).await.is_ok()
@@ -32,8 +46,7 @@
     }
 }
 
-fn local_state(shared: &Shared) -> LocalState {
-    let snapshot = shared.snapshot();
+fn local_state(shared: &Shared, snapshot: &Snapshot) -> LocalState {
     let phase = shared.target.phase(shared.clock.now());
     let state = match phase {
         _ if shared.is_draining() => State::Draining,
@@ -47,12 +60,12 @@
     LocalState {
         state,
         version: snapshot.version(),
-        digest_prefix: digest_prefix(&snapshot),
+        digest_prefix: digest_prefix(snapshot),
         slots,
     }
 }
 
-fn digest_prefix(snapshot: &config::Snapshot) -> u32 {
+fn digest_prefix(snapshot: &Snapshot) -> u32 {
     let d = snapshot.digest().0;
     u32::from_be_bytes([d[0], d[1], d[2], d[3]])
 }
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -14,6 +14,7 @@
 use wire::{Offset, Time};
 
 use crate::control::{Control, SpreadEvent};
+use crate::log_end::Position;
 use crate::shared::Shared;
 
 /// Stream of the publications.
@@ -66,6 +67,7 @@
     let mut reader = Reader::new(shared, control);
     while !*stop.borrow() {
         if !*reading.borrow_and_update() {
+            reader.pause();
             tokio::select! {
                 _ = reading.changed() => reader.reset_checkpoint(),
                 _ = stop.changed() => {}
@@ -87,6 +89,7 @@
     rng: StdRng,
     /// Whether the end of the stream was reported once; then each poll waits.
     at_end: bool,
+    behind_told: bool,
     checkpoint_due: Time,
     last_checkpoint: Option<Offset>,
 }
@@ -101,6 +104,7 @@
             fold,
             rng,
             at_end: false,
+            behind_told: false,
             checkpoint_due: Time::MAX,
             last_checkpoint: None,
         };
@@ -108,8 +112,18 @@
         reader
     }
 
+    /// Stops following the log. A step may have been left before it reported what it applied, so
+    /// the next one reports in any case.
+    fn pause(&mut self) {
+        self.at_end = false;
+        self.shared.log_end.set(None);
+    }
+
     async fn step(&mut self) {
         if self.fold.behind().is_some() {
+            if !self.behind_told {
+                self.report(Vec::new(), self.fold.next()).await;
+            }
             return std::future::pending().await;
         }
         let wait = if self.at_end {
@@ -129,7 +143,7 @@
                 self.report(applied, oldest).await;
             }
             Err(_) => {
-                self.at_end = false;
+                self.pause();
                 self.shared.metrics.count(Metric::LogFailures);
                 self.tell(Event::LogDown).await;
                 let ms = self.rng.random_range(RETRY_MS);
@@ -164,13 +178,20 @@
         }
         if let Some(format) = self.fold.behind() {
             log::warn!("record format {format} is unknown to this build");
-            return self.tell(Event::LogBehind { format }).await;
+            self.pause();
+            self.tell(Event::LogBehind { format }).await;
+            self.behind_told = true;
+            return;
         }
         if self.fold.checkpoint_as_of() != self.last_checkpoint {
             self.last_checkpoint = self.fold.checkpoint_as_of();
             self.reset_checkpoint();
         }
         self.at_end = self.is_at(end);
+        self.shared.log_end.set(self.at_end.then(|| Position {
+            next: self.fold.next(),
+            version: self.fold.snapshot().version(),
+        }));
         let s = self.fold.snapshot();
         let snapshot = ConfigText {
             version: s.version(),
--- a/crates/node/src/rpc.rs
+++ b/crates/node/src/rpc.rs
@@ -3,6 +3,7 @@
 //! Requests and replies are postcard, authenticated with the keys of the mesh. A connection serves
 //! one transfer; transfers are rare, so no node keeps connections to all others.
 
+use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,11 +14,13 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
+use tarpc::ChannelError;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio_util::codec::LengthDelimitedCodecError;
 use wire::{Digest, InstanceId, KeyRing, Version};
 
 use crate::datagram::Active;
@@ -29,6 +32,8 @@
 /// Transfers served at once; more wait in the listener's queue, which bounds memory in a herd.
 const MAX_CONNECTIONS: usize = 64;
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// A peer sends its request at once. Connections without one must not keep others waiting.
+const FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Bytes of TCP, tarpc and the authentication around a request or a reply.
 const FRAME_OVERHEAD_BYTES: u64 = 120;
 
@@ -86,6 +91,20 @@
     pub(crate) from: InstanceId,
     pub(crate) active: Active,
     pub(crate) member: JoinAnswer,
+    /// Whether the sender follows the log.
+    pub(crate) follows_log: bool,
+}
+
+/// Asks for the version that is current by a read of the log that begins after the request.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct ConfirmRequest {
+    pub(crate) id: InstanceId,
+}
+
+/// Answers a [`ConfirmRequest`]; nothing if the sender can't confirm its version.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct ConfirmReply {
+    pub(crate) current: Option<Active>,
 }
 
 /// Asks for a configuration newer than `version`.
@@ -115,6 +134,7 @@
 trait Transfer {
     /// Answers with `None` when the request isn't authentic.
     async fn join(req: Sealed) -> Option<Sealed>;
+    async fn confirm(req: Sealed) -> Option<Sealed>;
     async fn exchange(req: Sealed) -> Option<Sealed>;
     async fn fetch(req: Sealed) -> Option<Sealed>;
 }
@@ -155,6 +175,16 @@
         self.reply(&reply, "joined")
     }
 
+    async fn confirm(self, _: context::Context, req: Sealed) -> Option<Sealed> {
+        let ConfirmRequest { .. } = self.open(&req, "confirm")?;
+        let end = self.shared.log_end.check(&*self.shared.log).await;
+        let active = self.shared.active();
+        let current = end
+            .filter(|version| active.version >= *version)
+            .map(|_| active);
+        self.reply(&ConfirmReply { current }, "confirmed")
+    }
+
     async fn exchange(self, _: context::Context, req: Sealed) -> Option<Sealed> {
         let table: Table = self.open(&req, "exchange")?;
         let links = self.shared.links.get()?;
@@ -193,11 +223,35 @@
 }
 
 async fn serve_one(server: Server, tcp: tokio::net::TcpStream) {
+    let first = tokio::time::timeout(FIRST_BYTE_TIMEOUT, tcp.readable());
+    if !matches!(first.await, Ok(Ok(()))) {
+        return;
+    }
+    let metrics = server.shared.metrics.clone();
     let frames = tarpc::serde_transport::new(frames(tcp), Bincode::default());
-    let mut requests = Box::pin(BaseChannel::with_defaults(frames).execute(server.serve()));
-    while let Some(response) = requests.next().await {
-        response.await;
+    let mut requests = Box::pin(BaseChannel::with_defaults(frames).requests());
+    while let Some(request) = requests.next().await {
+        match request {
+            Ok(request) => request.execute(server.clone().serve()).await,
+            Err(ChannelError::Read(e)) => return metrics.count(unreadable(&*e)),
+            Err(_) => return,
+        }
+    }
+}
+
+fn unreadable(e: &(dyn Error + 'static)) -> Metric {
+    let mut cause = Some(e);
+    while let Some(e) = cause {
+        if e.is::<LengthDelimitedCodecError>() {
+            return Metric::DroppedOversized;
+        }
+        // The source of an I/O error is that of the error in it.
+        let inner = e
+            .downcast_ref::<std::io::Error>()
+            .and_then(std::io::Error::get_ref);
+        cause = inner.map_or(e.source(), |e| Some(e));
     }
+    Metric::DroppedMalformed
 }
 
 type Framed =
@@ -224,6 +278,13 @@
     exchange_sealed(shared, to, &req, ("join", "joined"), call).await
 }
 
+/// Asks the node at `to` for the version that is current.
+pub(crate) async fn confirm(shared: &Shared, to: SocketAddr) -> Result<ConfirmReply, RpcError> {
+    let req = ConfirmRequest { id: shared.id };
+    let call = async |c: TransferClient, req| c.confirm(context::current(), req).await;
+    exchange_sealed(shared, to, &req, ("confirm", "confirmed"), call).await
+}
+
 /// Exchanges tables with the node at `to`.
 pub(crate) async fn exchange(
     shared: &Shared,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::error::{ClientSnafu, StartError};
 use crate::gate::Gate;
 use crate::gossip::{Gossip, StartRumour};
+use crate::log_end::LogEnd;
 use crate::services::Services;
 use crate::settings::Settings;
 use crate::target::{Phase, Target};
@@ -72,6 +73,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) tracer: Tracer,
     pub(crate) log: Arc<dyn Log>,
+    pub(crate) log_end: LogEnd,
     pub(crate) services: Services,
     pub(crate) target: Target,
     pub(crate) gate: Arc<Gate>,
@@ -111,6 +113,7 @@
             metrics,
             tracer,
             log,
+            log_end: LogEnd::default(),
             services: Services::new(settings.domain.clone(), id, seed),
             target: Target::default(),
             gate: Gate::new(clock, UNKNOWN_SERVICE),
--- a/crates/spread/src/event.rs
+++ b/crates/spread/src/event.rs
@@ -70,6 +70,8 @@
     pub digest: Digest,
     /// Newest version that was active on the asking instance, as far as the answering one knows.
     pub floor: Version,
+    /// Whether the answering node follows the log, so that it can confirm what is current.
+    pub follows_log: bool,
 }
 
 /// How a version was heard of.
@@ -143,6 +145,14 @@
         /// Whom the node asked.
         to: Contact,
     },
+    /// An [`Action::Confirm`] ended.
+    Confirmed {
+        /// Whom the node asked.
+        from: InstanceId,
+        /// Version that is active there, if a read of the log that began after the question found
+        /// no newer one.
+        current: Option<(Version, Digest)>,
+    },
     /// The version of an [`Action::Apply`] is active.
     Applied(Version),
     /// The version of an [`Action::Apply`] can't be compiled by this build.
@@ -159,6 +169,12 @@
         /// Whom to ask.
         to: Contact,
     },
+    /// Ask a node that follows the log whether its version is current; answered by
+    /// [`Event::Confirmed`]. The node has to read the log after it got the question.
+    Confirm {
+        /// Whom to ask.
+        to: InstanceId,
+    },
     /// Send the active version to a peer.
     Announce {
         /// The peer.
--- a/crates/spread/src/join.rs
+++ b/crates/spread/src/join.rs
@@ -19,10 +19,17 @@
 /// Most seeds among them; the rest is for members, which know floors that seeds may not know.
 const MAX_SEEDS_ASKED: usize = 8;
 
+/// Least time between two rounds while nobody has answered, so that nodes that start together find
+/// each other soon.
+const RETRY: Duration = Duration::from_millis(100);
+/// Rounds after which a node that has met others asks silent seeds no more.
+const SEED_ROUNDS: u32 = 5;
+
 #[derive(Clone, Copy, Debug)]
 struct Ask {
     at: Time,
     ended: bool,
+    answered: bool,
 }
 
 #[derive(Debug, Default)]
@@ -30,6 +37,7 @@
     round: BTreeMap<Contact, Ask>,
     rounds: u32,
     next_round: Time,
+    next_retry: Time,
     answers: u64,
 }
 
@@ -43,10 +51,12 @@
         rng: &mut impl Rng,
     ) -> Vec<Contact> {
         let mut to = Vec::new();
-        if self.has_ended(now) && now >= self.next_round {
+        if self.has_ended(now) && now >= self.due() {
             self.round.clear();
             self.rounds += 1;
-            self.next_round = now + WAIT + backoff::delay(self.rounds, rng);
+            let delay = backoff::delay(self.rounds, rng);
+            self.next_round = now + WAIT + delay;
+            self.next_retry = now + RETRY + delay;
             let seeds = seeds.iter().copied().sample(rng, MAX_SEEDS_ASKED);
             to.extend(seeds.into_iter().map(Contact::Seed));
         }
@@ -60,6 +70,7 @@
                 Ask {
                     at: now,
                     ended: false,
+                    answered: false,
                 },
             );
         }
@@ -68,7 +79,10 @@
 
     pub(crate) fn answered(&mut self, to: Contact) {
         self.answers += 1;
-        self.failed(to);
+        if let Some(a) = self.round.get_mut(&to) {
+            a.answered = true;
+            a.ended = true;
+        }
     }
 
     pub(crate) fn failed(&mut self, to: Contact) {
@@ -77,12 +91,35 @@
         }
     }
 
+    /// Returns whether this node has met the others. When nodes start together, one may be ready
+    /// before the others listen. It has to ask on, or it stays alone.
+    pub(crate) fn is_settled(&self) -> bool {
+        let mut seeds = self
+            .round
+            .iter()
+            .filter(|(c, _)| matches!(c, Contact::Seed(_)));
+        self.answers > 0 && (self.rounds >= SEED_ROUNDS || seeds.all(|(_, a)| a.answered))
+    }
+
+    /// Returns whether questions were asked and none of them is open.
+    pub(crate) fn is_over(&self, now: Time) -> bool {
+        self.rounds > 0 && self.has_ended(now)
+    }
+
     /// Returns whether someone has answered and each contact of the round has answered, failed or
     /// had its time.
     pub(crate) fn is_complete(&self, now: Time) -> bool {
         self.answers > 0 && !self.round.is_empty() && self.has_ended(now)
     }
 
+    fn due(&self) -> Time {
+        if self.answers > 0 {
+            self.next_round
+        } else {
+            self.next_retry
+        }
+    }
+
     fn has_ended(&self, now: Time) -> bool {
         self.round
             .values()
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -5,6 +5,7 @@
 //! it and reports the result.
 
 mod backoff;
+mod confirm;
 mod event;
 mod join;
 mod peers;
@@ -12,6 +13,7 @@
 mod spread;
 mod status;
 
+pub use confirm::{PATIENCE, SETTLE};
 pub use event::{
     Action, ConfigText, Contact, Event, FetchError, JoinAnswer, Origin, Peer, Settings,
 };
--- a/crates/spread/src/peers.rs
+++ b/crates/spread/src/peers.rs
@@ -78,6 +78,28 @@
             < READERS_PER_DOMAIN
     }
 
+    /// Returns whether this node would be a reader if all members of its failure domain were ready.
+    pub(crate) fn would_read(&self) -> bool {
+        let rank = |id| (reader_rank(&self.domain, id), id);
+        let mine = rank(self.me);
+        let local = self.known.values().filter(|p| p.domain == self.domain);
+        local.filter(|p| rank(p.id) > mine).count() < READERS_PER_DOMAIN
+    }
+
+    /// Returns the readers of the own failure domain.
+    pub(crate) fn readers(&self) -> Vec<InstanceId> {
+        let ready = self
+            .known
+            .values()
+            .filter(|p| p.ready && p.domain == self.domain);
+        let mut ids: Vec<_> = ready
+            .map(|p| (reader_rank(&self.domain, p.id), p.id))
+            .collect();
+        ids.sort_unstable_by(|a, b| b.cmp(a));
+        ids.truncate(READERS_PER_DOMAIN);
+        ids.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// Chooses whom to tell about a new version: some of the own failure domain and one of another;
     /// a reader tells one of each other failure domain, so that a version crosses at once.
     pub(crate) fn audience(
--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -7,6 +7,7 @@
 use rand::rngs::Xoshiro256PlusPlus;
 use wire::{Digest, InstanceId, Time, Version};
 
+use crate::confirm::{Confirm, SETTLE};
 use crate::event::{
     Action, ConfigText, Contact, Event, FetchError, JoinAnswer, Origin, Peer, Settings,
 };
@@ -19,6 +20,9 @@
 pub const TICK: Duration = Duration::from_millis(100);
 /// A fetch without a result for this long counts as failed.
 pub const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// A node that becomes a reader starts to read after this time. Nodes that return together learn
+/// of each other's readiness one by one, and each would read from the start of the log until then.
+const READER_DELAY: Duration = Duration::from_secs(2);
 /// Most versions remembered as not readable by this build.
 const MAX_REFUSED: usize = 64;
 
@@ -48,10 +52,14 @@
     fetching: Option<Fetching>,
     peers: Peers,
     join: Join,
+    confirm: Confirm,
     log: LogState,
-    /// Version at the end of the log when the fold reached it.
+    /// Version at the end of the log when the own fold, or that of a peer for this node, reached it.
     read_to_end: Option<Version>,
+    /// Newest version that an answer to a join named.
+    newest_answer: Version,
     reads_log: bool,
+    reader_since: Option<Time>,
     status: Status,
 }
 
@@ -70,9 +78,12 @@
             fetching: None,
             peers: Peers::new(settings.me, settings.domain.clone()),
             join: Join::default(),
+            confirm: Confirm::default(),
             log: LogState::Unknown,
             read_to_end: None,
+            newest_answer: Version(0),
             reads_log: false,
+            reader_since: None,
             status: Status::default(),
             settings,
         }
@@ -95,6 +106,10 @@
                 origin,
             } => {
                 self.heard(now, from, version, digest);
+                // When a mesh starts, the first nodes that adopt a version are its readers.
+                if !self.status.ready && origin == Origin::Announce {
+                    self.confirm.try_once(from);
+                }
                 // A probe and its acknowledgement both carry versions; an announcement is answered
                 // by this, so that a node behind learns of it without waiting for a probe.
                 if origin == Origin::Announce && version < self.active.version {
@@ -104,6 +119,7 @@
             Event::Fetched { from, result } => self.fetched(now, from, result),
             Event::Joined { to, answer } => self.joined(now, to, answer),
             Event::JoinFailed { to } => self.join.failed(to),
+            Event::Confirmed { from, current } => self.confirmed(now, from, current),
             Event::Applied(version) => self.applied(now, version, &mut out),
             Event::ApplyFailed(version) => self.apply_failed(version),
         }
@@ -132,16 +148,31 @@
 
     fn proceed(&mut self, now: Time, out: &mut Vec<Action>) {
         self.ask(now, out);
+        self.ask_to_confirm(now, out);
         self.fetch(now, out);
         self.apply(now, out);
         self.set_ready(now, out);
-        let reads_log = !self.status.ready || self.is_reader();
+        let reads_log = if self.status.ready {
+            self.takes_reader_role(now)
+        } else {
+            self.has_to_read(now)
+        };
         if reads_log != self.reads_log {
             self.reads_log = reads_log;
             out.push(Action::ReadLog(reads_log));
         }
     }
 
+    /// Returns whether this ready node reads the log. It takes the role over with a delay.
+    fn takes_reader_role(&mut self, now: Time) -> bool {
+        if !self.is_reader() {
+            self.reader_since = None;
+            return false;
+        }
+        let since = *self.reader_since.get_or_insert(now);
+        self.reads_log || now.since(since) >= READER_DELAY
+    }
+
     fn is_reader(&self) -> bool {
         self.status.ready && self.peers.is_reader()
     }
@@ -149,6 +180,10 @@
     fn set_peers(&mut self, peers: Vec<Peer>) {
         for id in self.peers.replace(peers) {
             self.sources.remove(id);
+            self.confirm.refused(id);
+        }
+        if !self.status.ready {
+            self.confirm.set_readers(self.peers.readers());
         }
     }
 
@@ -212,7 +247,7 @@
     }
 
     fn ask(&mut self, now: Time, out: &mut Vec<Action>) {
-        if self.status.ready {
+        if self.status.ready && self.join.is_settled() {
             return;
         }
         let to = self
@@ -221,13 +256,53 @@
         out.extend(to.into_iter().map(|to| Action::Join { to }));
     }
 
+    /// Asks a node that follows the log whether its version is current.
+    fn ask_to_confirm(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.status.ready || self.reads_log || self.read_to_end.is_some() {
+            return;
+        }
+        if let Some(to) = self.confirm.ask(now, &mut self.rng) {
+            out.push(Action::Confirm { to });
+        }
+    }
+
+    /// Returns whether this starting node can't learn from others which version is current. Once
+    /// it reads, it goes on until it is ready.
+    fn has_to_read(&mut self, now: Time) -> bool {
+        if self.reads_log || self.confirm.is_patience_over(now, &mut self.rng) {
+            return true;
+        }
+        let age = self.started.map_or(Duration::ZERO, |t| now.since(t));
+        let asked = self.join.is_over(now) && (self.peers.is_seen() || age >= SETTLE);
+        let would_read = age >= SETTLE && self.peers.would_read();
+        asked && self.read_to_end.is_none() && self.confirm.is_hopeless(would_read)
+    }
+
     fn joined(&mut self, now: Time, to: Contact, answer: JoinAnswer) {
         if answer.from == self.settings.me {
             return self.join.failed(to);
         }
         self.join.answered(to);
         self.status.floor = self.status.floor.max(answer.floor);
+        self.newest_answer = self.newest_answer.max(answer.version);
         self.heard(now, answer.from, answer.version, answer.digest);
+        if self.status.ready {
+            return;
+        }
+        if answer.follows_log {
+            self.confirm.may_confirm(answer.from);
+        }
+    }
+
+    fn confirmed(&mut self, now: Time, from: InstanceId, current: Option<(Version, Digest)>) {
+        let Some((version, digest)) = current else {
+            return self.confirm.refused(from);
+        };
+        self.confirm.answered(from);
+        self.heard(now, from, version, digest);
+        if !self.status.ready {
+            self.read_to_end = self.read_to_end.max(Some(version));
+        }
     }
 
     fn fetch(&mut self, now: Time, out: &mut Vec<Action>) {
@@ -285,7 +360,10 @@
         if self.applying.is_some() || !(self.status.ready || self.knows_its_past(now)) {
             return;
         }
-        let usable = |c: &mut ConfigText| c.version >= self.status.floor;
+        // The past of this node can reach up to the end of the log.
+        let end = self.read_to_end.filter(|_| !self.status.ready);
+        let least = self.status.floor.max(end.unwrap_or_default());
+        let usable = |c: &mut ConfigText| c.version >= least;
         if let Some(text) = self.candidate.take_if(usable) {
             self.applying = Some(text.clone());
             out.push(Action::Apply(text));
@@ -337,7 +415,13 @@
     fn has_heard_peers(&self, now: Time) -> bool {
         // Members become known by the answers of seeds and have to be asked too.
         let waited = self.started.is_some_and(|t| now.since(t) >= WAIT);
-        self.log.is_away() && self.join.is_complete(now) && (self.peers.is_seen() || waited)
+        // Peers at version 0 have restarted too. What a part of the log holds may then be older
+        // than what was active here.
+        let known = self.newest_answer > Version(0);
+        known
+            && self.log.is_away()
+            && self.join.is_complete(now)
+            && (self.peers.is_seen() || waited)
     }
 
     fn set_ready(&mut self, now: Time, out: &mut Vec<Action>) {
@@ -359,10 +443,9 @@
         if self.read_to_end.is_some_and(|end| version >= end) {
             return true;
         }
-        // Without the log, version 0 can mean that each node has restarted and none knows more.
         let reachable = self.sources.newest_reachable().unwrap_or_default();
         let refused = self.refused.last().map_or(Version(0), |r| r.0);
         let newest = self.best().max(reachable).max(refused);
-        version > Version(0) && version >= newest && self.has_heard_peers(now)
+        version >= newest && self.has_heard_peers(now)
     }
 }
--- a/crates/spread/tests/machine.rs
+++ b/crates/spread/tests/machine.rs
@@ -8,9 +8,11 @@
 use common::{addr, heard, node, peer, text};
 use googletest::prelude::*;
 use spread::{Action, ConfigText, Contact, Event, FETCH_TIMEOUT, FetchError, JoinAnswer};
-use spread::{LogState, Origin, READERS_PER_DOMAIN, Spread};
+use spread::{LogState, Origin, PATIENCE, READERS_PER_DOMAIN, SETTLE, Spread};
 use wire::{Digest, InstanceId, Time, Version};
 
+/// At least two members with identifiers 2 to 9 come before this one as readers.
+const LOWEST_RANK: u64 = 1;
 const SEED: u64 = 0x5eed_0004;
 
 fn parse(s: &str) -> u64 {
@@ -37,6 +39,7 @@
         "down" => Event::LogDown,
         "behind" => Event::LogBehind { format: 2 },
         "peers" => Event::Peers(f[1..].iter().map(|n| peer(parse(n), true)).collect()),
+        "starting" => Event::Peers(f[1..].iter().map(|n| peer(parse(n), false)).collect()),
         "end" => Event::LogTail {
             snapshot: text_of(f[1]),
             at_end: true,
@@ -75,9 +78,22 @@
                 version,
                 digest,
                 floor,
+                follows_log: f.get(4).is_some(),
             };
-            Event::Joined { to: to(1), answer }
+            let to = to(1);
+            Event::Joined { to, answer }
         }
+        "confirmed" => {
+            let t = text_of(f[2]);
+            Event::Confirmed {
+                from: from(),
+                current: Some((t.version, t.digest)),
+            }
+        }
+        "unconfirmed" => Event::Confirmed {
+            from: from(),
+            current: None,
+        },
         "refused" => Event::JoinFailed { to: to(1) },
         "left" => Event::JoinFailed {
             to: Contact::Peer(from()),
@@ -91,6 +107,7 @@
 fn shown(a: &Action) -> String {
     match a {
         Action::ReadLog(on) => format!("read:{on}"),
+        Action::Confirm { to } => format!("confirm:{}", to.0),
         Action::Join { .. } => "join".to_owned(),
         Action::Announce { to, version, .. } => format!("news:{}:{version}", to.0),
         Action::Fetch { from, .. } => format!("fetch:{}", from.0),
@@ -184,7 +201,7 @@
 #[gtest]
 fn one_fetch_is_in_flight_and_failures_back_off() {
     let mut s = ready(1, 1);
-    let begins = |ms: &u64| !run(&mut s, *ms, "probe:2:2 tick").is_empty();
+    let begins = |ms: &u64| run(&mut s, *ms, "probe:2:2 tick").contains(&"fetch:2".to_owned());
     let begins: Vec<u64> = (0..60_000).step_by(100).filter(begins).collect();
     let gaps: Vec<u64> = begins.windows(2).map(|w| w[1] - w[0]).collect();
     let timeout = FETCH_TIMEOUT.as_millis() as u64;
@@ -277,6 +294,14 @@
 newer left | down peers:4 left:4 news:4:6 lost:4 joined:2:5:5 got:2:5 refused:3 peers done:5 | 5 ready
 newer not readable | down peers joined:2:6:0 got:2:6 refused:3 bad:6 joined:3:5:0 got:3:5 done:5 | 5
 members unknown | down joined:2:5:5 got:2:5 refused:3 done:5 | 0
+log lost midway | peers tail:5 down joined:2:0:0 joined:3:0:0 done:5 | 0
+behind midway | peers tail:5 behind joined:2:0:0 joined:3:0:0 done:5 | 0
+confirmed by a peer | peers joined:2:5:0:follows confirmed:2:5 got:2:5 done:5 | 5 ready
+confirmed below floor | joined:3:0:6 joined:2:5:0:follows confirmed:2:5 got:2:5 done:5 | 0
+older than confirmed | confirmed:2:5 got:3:4 done:4 | 0
+follows but not confirmed | peers joined:2:5:0:follows got:2:5 done:5 | 0
+could not confirm | peers joined:2:5:0:follows unconfirmed:2 got:2:5 done:5 | 0
+new mesh, confirmed | joined:2:0:0:follows confirmed:2:0 | 0 ready
 own seed | down peers joined:1:0:0 refused:2 refused:3 | 0
 ";
 
@@ -309,7 +334,10 @@
     let rounds = |seed| {
         let mut s = node(1, 2..40, seed);
         run(&mut s, 0, &format!("down {}", view(2..99)));
-        let mut asked = |ms: &u64| run(&mut s, *ms, "tick").len();
+        let mut asked = |ms: &u64| {
+            let out = run(&mut s, *ms, "tick");
+            out.iter().filter(|a| *a == "join").count()
+        };
         let asked = (100..60_000)
             .step_by(100)
             .map(|ms| (ms, asked(&ms)))
@@ -325,3 +353,54 @@
         ge(10)
     );
 }
+
+/// Name, events, and whether the node then reads the log: at once, once it had time to get to know
+/// the others, or only when its patience ends. Each case starts with a question to two seeds.
+const READS: &str = "
+waits for answers | peers joined:2:5:0 | settled
+nobody answers | peers refused:2 refused:3 | settled
+others follow | peers joined:2:5:0:follows refused:3 | late
+confirmed | peers joined:2:5:0:follows refused:3 confirmed:2:5 | late
+remote can't confirm | peers joined:2:5:0:follows refused:3 unconfirmed:2 | settled
+readers can't confirm | peers:2:4 left:2 left:4 refused:2 joined:3:5:0 unconfirmed:2 unconfirmed:4 | now
+silent reader | peers:2 left:2 refused:2 refused:3 | late
+first of a new mesh | peers joined:2:0:0 joined:3:0:0 | settled
+others of a new mesh | starting:2:3:4:5:6:7:8:9 left:2 left:3 left:4 left:5 left:6 left:7 left:8 left:9 refused:2 refused:3 | late
+";
+
+/// Guards against a return of many nodes that reads the log once per node, and against a node that
+/// waits for others although none of them can tell it the current version.
+#[gtest]
+fn a_starting_node_reads_the_log_only_if_no_peer_can_confirm() {
+    let (settle, patience) = (SETTLE.as_millis() as u64, PATIENCE.end.as_millis() as u64);
+    for [name, events, reads] in rows(READS) {
+        let mut s = node(LOWEST_RANK, [2, 3], SEED);
+        let mut reads_after = |ms, events: &str| {
+            let out = run(&mut s, ms, events);
+            out.iter().any(|a| a == "read:true")
+        };
+        let now = reads_after(0, &format!("tick {events} tick"));
+        let settled = reads_after(settle, "tick refused:2 refused:3 tick");
+        let late = reads_after(patience, "tick");
+        let expected = (reads == "now", reads == "settled", reads == "late");
+        expect_that!((now, settled, late), eq(expected), "{name}");
+    }
+}
+
+/// Guards against a node that is ready before the others listen, and then stays alone.
+#[gtest]
+fn a_ready_node_asks_until_it_has_met_the_others() {
+    let mut s = node(1, [2, 3], SEED);
+    run(&mut s, 0, "tick refused:2 refused:3 end:5 done:5");
+    assert!(s.status().ready);
+    let asked = run(&mut s, 10_000, "tick")
+        .iter()
+        .filter(|a| *a == "join")
+        .count();
+    expect_that!(asked, eq(2));
+    run(&mut s, 10_100, "joined:2:5:0 joined:3:5:0 peers:2:3");
+    let later = (20_000..60_000)
+        .step_by(1_000)
+        .map(|ms| run(&mut s, ms, "tick").len());
+    expect_that!(later.sum::<usize>(), eq(0));
+}
--- a/crates/spread/tests/mesh.rs
+++ b/crates/spread/tests/mesh.rs
@@ -27,6 +27,12 @@
     ready: bool,
     reads_log: bool,
     log_at: u64,
+    /// Whether the last read reached the end.
+    at_end: bool,
+    /// Version that was active before the last restart.
+    had: Version,
+    /// Whether the log was away for this node since its last start.
+    was_away: bool,
     /// Newest version seen active on each node.
     floors: BTreeMap<u64, Version>,
     /// What peers that have been reachable since the boot knew of this node then.
@@ -140,10 +146,15 @@
                     active >= past,
                     "node {i} is ready with {active}, had {past}"
                 );
+                // With the log at hand, no version is forgotten, whoever else has died.
+                let had = self.at(i).had;
+                let safe = active >= had || self.at(i).was_away;
+                assert!(safe, "node {i} is ready with {active}, had {had}");
                 self.at(i).ready = true;
             }
             Action::NotReady => self.at(i).ready = false,
             Action::Join { to } => self.join(i, to),
+            Action::Confirm { to } => self.confirm(i, to),
             Action::Announce { to, .. } => self.datagram(i, index(to), Origin::Announce),
             Action::Fetch { from, .. } => self.fetch(i, from),
             Action::Apply(t) => {
@@ -173,10 +184,22 @@
             version,
             digest,
             floor,
+            follows_log: self.at(j).reads_log && self.at(j).at_end,
         };
         self.answer(j, i, 900, Event::Joined { to, answer });
     }
 
+    /// Lets node `from` check the end of the log at once.
+    fn confirm(&mut self, i: u64, from: InstanceId) {
+        let j = index(from);
+        let t = self.active(j);
+        let reaches = self.log_up && self.cut != Some(j % DOMAINS);
+        let follows = self.at(j).reads_log && self.at(j).at_end;
+        let current = reaches && follows && t.version >= Version(self.published);
+        let current = current.then_some((t.version, t.digest));
+        self.answer(j, i, 900, Event::Confirmed { from, current });
+    }
+
     fn fetch(&mut self, i: u64, from: InstanceId) {
         let text = self.active(index(from));
         let failed = self.rng.random_bool(self.loss);
@@ -210,11 +233,14 @@
 
     fn read_log(&mut self, i: u64) {
         if !self.log_up || self.cut == Some(i % DOMAINS) {
+            self.at(i).at_end = false;
+            self.at(i).was_away = true;
             return self.event(i, Event::LogDown);
         }
         let at = self.published.min(self.at(i).log_at + 3);
         self.at(i).log_at = at;
         let (snapshot, at_end) = (text(at), at == self.published);
+        self.at(i).at_end = at_end;
         self.event(i, Event::LogTail { snapshot, at_end });
     }
 
@@ -251,9 +277,13 @@
     }
 
     fn restart(&mut self, i: u64) {
-        let boot = self.at(i).boot + 1;
+        let (boot, had) = (
+            self.at(i).boot + 1,
+            self.active(i).version.max(self.at(i).had),
+        );
         *self.at(i) = Node {
             boot,
+            had,
             ..Node::default()
         };
         self.spreads[i as usize] = start(i, &mut self.rng);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -86,6 +86,10 @@
         (proc, addr.to_owned())
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let status = Command::new("kill")
