--- /dev/null
+++ b/crates/config/examples/cost.rs
@@ -0,0 +1,119 @@
+//! Costs of a configuration version at several sizes: compiling, deltas, look-ups and memory.
+//!
+//! Run with `cargo run --release -p config --example cost`. Times are the median of the runs.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use config::{Delta, Snapshot};
+use wire::Version;
+
+const SERVICES: [usize; 3] = [49, 490, 980];
+const ROUTES_PER_SERVICE: usize = 10;
+const RUNS: usize = 41;
+const LOOKUPS: usize = 100_000;
+/// Snapshots held at once to measure the resident bytes of one.
+const HELD: usize = 16;
+const PAGE_BYTES: usize = 4_096;
+
+fn text(services: usize) -> String {
+    let service = |i: usize| {
+        let depends = match i % 9 {
+            0 => String::new(),
+            _ => format!("depends = [\"s{:04}\"]\n", i - 1),
+        };
+        let route =
+            |r: usize| format!("[[route]]\nprefix = \"/s{i:04}/r{r}\"\nservice = \"s{i:04}\"\n");
+        let routes: String = (0..ROUTES_PER_SERVICE).map(route).collect();
+        format!("[[service]]\nname = \"s{i:04}\"\nslots = 6\nconnections = 130\n{depends}{routes}")
+    };
+    let blocks: String = (0..services).map(service).collect();
+    format!("format = 1\nmesh = \"m\"\n{blocks}")
+}
+
+/// Returns the text with one change in the middle of it.
+fn changed(text: &str, change: &str) -> String {
+    let middle = text.len() / 2;
+    let (before, after) = text.split_at(middle);
+    let after = match change {
+        "service" => after.replacen("slots = 6", "slots = 7", 1),
+        "route" => after.replacen("/r5\"", "/r5\"\ntimeout_ms = 900", 1),
+        _ => after.replacen("/r5\"", "/r5/new\"", 1),
+    };
+    format!("{before}{after}")
+}
+
+fn median(mut f: impl FnMut() -> Duration) -> Duration {
+    let mut times: Vec<Duration> = (0..RUNS).map(|_| f()).collect();
+    times.sort_unstable();
+    times[RUNS / 2]
+}
+
+fn timed<T>(f: impl FnOnce() -> T) -> Duration {
+    let start = Instant::now();
+    let made = black_box(f());
+    let took = start.elapsed();
+    drop(made);
+    took
+}
+
+fn compile(text: &Arc<str>) -> Snapshot {
+    Snapshot::compile(Version(1), "m", text.clone()).expect("valid text")
+}
+
+/// Returns the resident bytes of this process; 0 where `/proc` is missing.
+fn resident() -> usize {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|n| n.parse().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+/// Returns snapshots of one text and the resident bytes of each, its text included.
+fn hold_snapshots(text: &str) -> (Vec<Snapshot>, usize) {
+    let before = resident();
+    let held = (0..HELD).map(|_| compile(&text.into())).collect();
+    (held, resident().saturating_sub(before) / HELD)
+}
+
+fn lookup(s: &Snapshot, services: usize) -> Duration {
+    let paths: Vec<String> = (0..services)
+        .map(|i| format!("/s{i:04}/r5/item?x=1"))
+        .collect();
+    let all = timed(|| {
+        let found = (0..LOOKUPS).filter(|i| s.route_for("GET", &paths[i % services]).is_some());
+        found.count()
+    });
+    all / LOOKUPS as u32
+}
+
+fn main() {
+    // All snapshots are held until each size is measured: freed memory would be used again unseen.
+    let held = SERVICES.map(|n| hold_snapshots(&text(n)));
+    for (n, (_, bytes)) in SERVICES.into_iter().zip(&held) {
+        println!("{n} services: {bytes} bytes of a snapshot");
+    }
+    drop(held);
+    SERVICES.into_iter().for_each(measure_times);
+}
+
+fn measure_times(n: usize) {
+    let old: Arc<str> = text(n).into();
+    let s = compile(&old);
+    println!(
+        "{n} services, {} routes, {} bytes: full {:?}, route_for {:?}",
+        n * ROUTES_PER_SERVICE,
+        old.len(),
+        median(|| timed(|| compile(&old))),
+        lookup(&s, n),
+    );
+    for change in ["service", "route", "prefix"] {
+        let new: Arc<str> = changed(&old, change).into();
+        let delta = Delta::between(&old, &new);
+        println!(
+            "  one {change} changed: delta {} bytes in {:?}",
+            postcard::to_stdvec(&delta).expect("encodes").len(),
+            median(|| timed(|| Delta::between(&old, &new))),
+        );
+    }
+}
