Compile a version by reading only the blocks that changed

Compiling was most of what a publication cost a node, and more than half of it was the TOML parser, although a publication changes a few lines.

A block whose words are in the previous version keeps what it defined there; each other block is read as a document of its own and has to define one service or route. Rules that span blocks are checked again when their inputs change; services, routes and the table are shared when they are equal. If this way fails, the text is compiled as a whole, so rejections stay the same.

Ruled out: refusing each text with a multi-line string. A cut inside a string or an array leaves a block that is not a document, so reading the block finds it.

--- a/crates/config/examples/cost.rs
+++ b/crates/config/examples/cost.rs
@@ -62,6 +62,10 @@
     Snapshot::compile(Version(1), "m", text.clone()).expect("valid text")
 }
 
+fn compile_after(previous: &Snapshot, text: &Arc<str>) -> Snapshot {
+    Snapshot::compile_after(previous, Version(1), text.clone()).expect("valid text")
+}
+
 /// Returns the resident bytes of this process; 0 where `/proc` is missing.
 fn resident() -> usize {
     let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
@@ -99,7 +103,8 @@
 
 fn measure_times(n: usize) {
     let old: Arc<str> = text(n).into();
-    let s = compile(&old);
+    // Blocks are kept from the second version on.
+    let s = compile_after(&Snapshot::empty("m"), &old);
     println!(
         "{n} services, {} routes, {} bytes: full {:?}, route_for {:?}",
         n * ROUTES_PER_SERVICE,
@@ -111,7 +116,8 @@
         let new: Arc<str> = changed(&old, change).into();
         let delta = Delta::between(&old, &new);
         println!(
-            "  one {change} changed: delta {} bytes in {:?}",
+            "  one {change} changed: {:?}, delta {} bytes in {:?}",
+            median(|| timed(|| compile_after(&s, &new))),
             postcard::to_stdvec(&delta).expect("encodes").len(),
             median(|| timed(|| Delta::between(&old, &new))),
         );
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -19,45 +19,35 @@
 use crate::snapshot::{Methods, Repeat, Route, Service, Snapshot};
 use crate::table::Table;
 
-type Services = BTreeMap<ServiceName, Service>;
+pub(crate) type Services = BTreeMap<ServiceName, Service>;
 
 pub(crate) fn compile(version: Version, mesh: &str, text: Arc<str>) -> Result<Snapshot, Rejection> {
     let cx = Checker { text: &text };
     let raw = cx.read()?;
-    if raw.mesh.get_ref() != mesh {
-        let reason = format!(
-            "the text is for mesh `{}`, not `{mesh}`",
-            raw.mesh.get_ref()
-        );
-        return Err(cx.reject(Code::TextForeign, &raw.mesh, reason));
-    }
-    let window = cx.number(
-        raw.claim_window_s.as_ref(),
-        CLAIM_WINDOW_S,
-        DEFAULT_CLAIM_WINDOW_S,
-    )?;
-    let services = cx.services(&raw.services)?;
-    let routes = cx.routes(&raw.routes, &services)?;
-    let table = Table::new(&routes);
+    let claim_window = cx.head(&raw, mesh)?;
+    let services = cx.services(raw.services.as_deref().unwrap_or_default())?;
+    let (routes, table) = cx.routes(raw.routes.as_deref().unwrap_or_default(), &services)?;
     Ok(Snapshot {
         version,
         digest: Digest::of(text.as_bytes()),
         mesh: mesh.into(),
         scope: raw.scope,
-        claim_window: Duration::from_secs(window.into()),
-        services,
-        routes,
-        table,
+        claim_window,
+        services: Arc::new(services),
+        routes: Arc::new(routes),
+        table: Arc::new(table),
+        layout: Arc::default(),
         text,
     })
 }
 
-struct Checker<'a> {
-    text: &'a str,
+/// Checks a text, or a block of a text if the places of faults don't matter.
+pub(crate) struct Checker<'a> {
+    pub(crate) text: &'a str,
 }
 
 impl Checker<'_> {
-    fn read(&self) -> Result<RawText, Rejection> {
+    pub(crate) fn read(&self) -> Result<RawText, Rejection> {
         if self.text.len() > MAX_TEXT_BYTES {
             let reason = format!("{} bytes, the limit is {MAX_TEXT_BYTES}", self.text.len());
             return Err(Rejection::at(Code::TextTooLarge, self.text, 0, reason));
@@ -79,7 +69,7 @@
         raw
     }
 
-    fn parse<T: DeserializeOwned>(&self) -> Result<T, Rejection> {
+    pub(crate) fn parse<T: DeserializeOwned>(&self) -> Result<T, Rejection> {
         toml::from_str(self.text).map_err(|e| {
             let at = e.span().map_or(0, |s| s.start);
             Rejection::at(Code::TextUnreadable, self.text, at, e.message())
@@ -94,6 +84,23 @@
         self.reject(Code::TextInvalid, at, reason)
     }
 
+    /// Checks the keys before the services and returns the claim window.
+    pub(crate) fn head(&self, raw: &RawText, mesh: &str) -> Result<Duration, Rejection> {
+        if raw.mesh.get_ref() != mesh {
+            let reason = format!(
+                "the text is for mesh `{}`, not `{mesh}`",
+                raw.mesh.get_ref()
+            );
+            return Err(self.reject(Code::TextForeign, &raw.mesh, reason));
+        }
+        let window = self.number(
+            raw.claim_window_s.as_ref(),
+            CLAIM_WINDOW_S,
+            DEFAULT_CLAIM_WINDOW_S,
+        )?;
+        Ok(Duration::from_secs(window.into()))
+    }
+
     fn number(
         &self,
         raw: Option<&Spanned<i64>>,
@@ -130,7 +137,7 @@
         Ok(services)
     }
 
-    fn service(&self, raw: &RawService) -> Result<Service, Rejection> {
+    pub(crate) fn service(&self, raw: &RawService) -> Result<Service, Rejection> {
         if !is_name(raw.name.get_ref()) {
             let reason = format!(
                 "a service name has 1 to {MAX_NAME_BYTES} characters of a-z, 0-9 and `-` and \
@@ -176,14 +183,8 @@
         Ok(())
     }
 
-    /// Refuses cycles and chains of more than [`MAX_CHAIN`] services. Round n keeps the services
-    /// from which a chain of more than n services starts, so a cycle never leaves the set.
     fn check_chains(&self, raw: &[RawService], services: &Services) -> Result<(), Rejection> {
-        let mut longer: Vec<&Service> = services.values().collect();
-        for _ in 0..MAX_CHAIN {
-            let names: std::collections::BTreeSet<_> = longer.iter().map(|s| &s.name).collect();
-            longer.retain(|s| s.depends.iter().any(|d| names.contains(d)));
-        }
+        let longer = starts_of_long_chains(services);
         let of_longer = |s: &&RawService| longer.iter().any(|l| *l.name.0 == **s.name.get_ref());
         match raw.iter().find(of_longer) {
             None => Ok(()),
@@ -198,26 +199,28 @@
         }
     }
 
-    fn routes(&self, raw: &[RawRoute], services: &Services) -> Result<Vec<Route>, Rejection> {
+    fn routes(
+        &self,
+        raw: &[RawRoute],
+        services: &Services,
+    ) -> Result<(Vec<Route>, Table), Rejection> {
         if let Some(over) = raw.get(MAX_ROUTES) {
             return Err(self.invalid(&over.prefix, format!("more than {MAX_ROUTES} routes")));
         }
-        let mut taken: BTreeMap<&str, Methods> = BTreeMap::new();
         let mut routes = Vec::with_capacity(raw.len());
+        let mut table = Table::default();
         for r in raw {
-            let route = self.route(r, services)?;
-            let before = taken.entry(r.prefix.get_ref()).or_insert(Methods::NONE);
-            if before.overlaps(route.methods) {
-                let reason = format!("prefix `{}` has two routes for a method", route.prefix);
+            routes.push(self.route(r, services)?);
+            if !table.insert_last(&routes) {
+                let prefix = r.prefix.get_ref();
+                let reason = format!("prefix `{prefix}` has two routes for a method");
                 return Err(self.invalid(&r.prefix, reason));
             }
-            *before = before.union(route.methods);
-            routes.push(route);
         }
-        Ok(routes)
+        Ok((routes, table))
     }
 
-    fn route(&self, raw: &RawRoute, services: &Services) -> Result<Route, Rejection> {
+    pub(crate) fn route(&self, raw: &RawRoute, services: &Services) -> Result<Route, Rejection> {
         let prefix = raw.prefix.get_ref();
         if !is_prefix(prefix) {
             let reason = format!(
@@ -282,6 +285,34 @@
     }
 }
 
+/// Makes a set of checked services if no two have one name and each dependency is allowed.
+pub(crate) fn link(list: &[&Service]) -> Option<Services> {
+    let services: Services = list
+        .iter()
+        .map(|s| (s.name.clone(), (*s).clone()))
+        .collect();
+    let is_allowed = |s: &Service| {
+        let mut deps = s.depends.iter().enumerate();
+        deps.all(|(i, d)| services.contains_key(d) && !s.depends[..i].contains(d))
+    };
+    let valid = services.len() == list.len()
+        && list.iter().all(|s| is_allowed(s))
+        && starts_of_long_chains(&services).is_empty();
+    valid.then_some(services)
+}
+
+/// Returns the services from which a cycle or a chain of more than [`MAX_CHAIN`] services starts.
+/// Round n keeps those from which a chain of more than n services starts, so a cycle never leaves
+/// the set.
+fn starts_of_long_chains(services: &Services) -> Vec<&Service> {
+    let mut longer: Vec<&Service> = services.values().collect();
+    for _ in 0..MAX_CHAIN {
+        let names: std::collections::BTreeSet<_> = longer.iter().map(|s| &s.name).collect();
+        longer.retain(|s| s.depends.iter().any(|d| names.contains(d)));
+    }
+    longer
+}
+
 fn is_name(s: &str) -> bool {
     let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
     s.len() <= MAX_NAME_BYTES
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,13 +1,15 @@
 //! Configuration text, compiled snapshots and the fold of the publication stream.
 //!
 //! A text becomes a [`Snapshot`] by [`Snapshot::compile`], which applies each rule or refuses the
-//! text as a whole. [`Fold`] turns the records of the log into numbered versions; nodes that have
+//! text as a whole; [`Snapshot::compile_after`] does the same at less cost. [`Fold`] turns the records of the log into numbered versions; nodes that have
 //! read the log up to the same offset hold the same version with the same digest.
 
+mod blocks;
 mod check;
 mod delta;
 mod fold;
 mod id;
+mod incremental;
 mod limits;
 mod raw;
 mod record;
--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -19,6 +19,16 @@
     #[serde(default)]
     pub(crate) scope: Scope,
     pub(crate) claim_window_s: Option<Spanned<i64>>,
+    #[serde(rename = "service")]
+    pub(crate) services: Option<Vec<RawService>>,
+    #[serde(rename = "route")]
+    pub(crate) routes: Option<Vec<RawRoute>>,
+}
+
+/// A part of a text that has services and routes only.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawBlock {
     #[serde(default, rename = "service")]
     pub(crate) services: Vec<RawService>,
     #[serde(default, rename = "route")]
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -8,7 +8,9 @@
 use serde::Deserialize;
 use wire::{Digest, Fingerprint, ServiceName, Version};
 
+use crate::blocks::Layout;
 use crate::check;
+use crate::incremental;
 use crate::limits::DEFAULT_CLAIM_WINDOW_S;
 use crate::rejection::Rejection;
 use crate::table::Table;
@@ -135,7 +137,9 @@
 }
 
 /// One version of the configuration, immutable. Each rule of the format holds for it.
-#[derive(Debug)]
+///
+/// Versions made by [`Snapshot::compile_after`] share the parts that are equal.
+#[derive(Clone, Debug)]
 pub struct Snapshot {
     pub(crate) version: Version,
     pub(crate) digest: Digest,
@@ -143,9 +147,10 @@
     pub(crate) mesh: Arc<str>,
     pub(crate) scope: Scope,
     pub(crate) claim_window: Duration,
-    pub(crate) services: BTreeMap<ServiceName, Service>,
-    pub(crate) routes: Vec<Route>,
-    pub(crate) table: Table,
+    pub(crate) services: Arc<BTreeMap<ServiceName, Service>>,
+    pub(crate) routes: Arc<Vec<Route>>,
+    pub(crate) table: Arc<Table>,
+    pub(crate) layout: Arc<Layout>,
 }
 
 impl Snapshot {
@@ -163,6 +168,24 @@
         check::compile(version, mesh, text.into())
     }
 
+    /// Compiles `text` as [`Snapshot::compile`] does, for the mesh of `previous`, and reads only the
+    /// services and routes that `previous` doesn't have in the same words. The result is the same.
+    ///
+    /// # Errors
+    ///
+    /// Fails when [`Snapshot::compile`] does, with the same rejection.
+    pub fn compile_after(
+        previous: &Snapshot,
+        version: Version,
+        text: impl Into<Arc<str>>,
+    ) -> Result<Snapshot, Rejection> {
+        let text = text.into();
+        match incremental::compile(previous, version, &text) {
+            Some(snapshot) => Ok(snapshot),
+            None => check::compile(version, &previous.mesh, text),
+        }
+    }
+
     /// Returns version 0: the configuration without services and routes that each mesh starts with.
     pub fn empty(mesh: &str) -> Snapshot {
         Snapshot {
@@ -172,9 +195,10 @@
             mesh: mesh.into(),
             scope: Scope::All,
             claim_window: Duration::from_secs(DEFAULT_CLAIM_WINDOW_S.into()),
-            services: BTreeMap::new(),
-            routes: Vec::new(),
-            table: Table::default(),
+            services: Arc::default(),
+            routes: Arc::default(),
+            table: Arc::default(),
+            layout: Arc::default(),
         }
     }
 
--- a/crates/config/src/table.rs
+++ b/crates/config/src/table.rs
@@ -14,21 +14,40 @@
 
 /// A tree of path segments. A look-up costs one binary search per matching segment and allocates
 /// nothing, whatever the length of the path.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Table {
     nodes: Vec<Node>,
 }
 
-impl Table {
-    pub(crate) fn new(routes: &[Route]) -> Table {
-        let mut table = Table {
+impl Default for Table {
+    fn default() -> Table {
+        Table {
             nodes: vec![Node::default()],
-        };
-        for (i, r) in routes.iter().enumerate() {
-            let at = segments(&r.prefix).fold(ROOT, |at, seg| table.child_or_insert(at, seg));
-            table.nodes[at].routes.push(i);
         }
-        table
+    }
+}
+
+impl Table {
+    /// Makes the table of `routes`, or nothing if two of them take the same requests.
+    pub(crate) fn new(routes: &[Route]) -> Option<Table> {
+        let mut table = Table::default();
+        let valid = (1..=routes.len()).all(|n| table.insert_last(&routes[..n]));
+        valid.then_some(table)
+    }
+
+    /// Adds the last of `routes` to a table of the others. Returns false if one of them has the
+    /// same prefix and a common method.
+    #[must_use]
+    pub(crate) fn insert_last(&mut self, routes: &[Route]) -> bool {
+        let Some((last, others)) = routes.split_last() else {
+            return true;
+        };
+        let at = segments(&last.prefix).fold(ROOT, |at, seg| self.child_or_insert(at, seg));
+        let routes = &mut self.nodes[at].routes;
+        let free = |i: &usize| !others[*i].methods.overlaps(last.methods);
+        let valid = routes.iter().all(free);
+        routes.push(others.len());
+        valid
     }
 
     pub(crate) fn find<'a>(
@@ -41,7 +60,7 @@
         if !path.starts_with('/') {
             return None;
         }
-        let mut node = self.nodes.get(ROOT)?;
+        let mut node = &self.nodes[ROOT];
         let mut best = route_at(routes, node, method);
         for seg in path[1..].split('/') {
             let Some(next) = child(node, seg) else { break };
--- /dev/null
+++ b/crates/config/tests/incremental.rs
@@ -0,0 +1,236 @@
+//! Compiling after a version against compiling alone.
+
+use std::cell::Cell;
+use std::sync::Arc;
+
+use config::{Rejection, Snapshot};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+use wire::Version;
+
+/// A mesh name for which a valid text has a block inside a string.
+const MESH: &str = "m\n[[route]]\nprefix = \"/q\"\nservice = \"a\"\n";
+const HEAD: &str =
+    "format = 1\nmesh = \"\"\"m\n[[route]]\nprefix = \"/q\"\nservice = \"a\"\n\"\"\"\n";
+const PLAIN_HEAD: &str = "# text\nformat = 1\nmesh = \"m\"\n";
+
+/// Blocks of a text, separated by `|`.
+const BLOCKS: &str = r#"[[service]]
+name = "a"
+slots = 6
+connections = 130
+|[[service]]
+name = "b"
+depends = ["a"]
+slots = 3
+connections = 40 # each
+queue = 7
+|[[route]]
+prefix = "/a"
+service = "a"
+methods = ["GET"]
+repeat = "safe"
+hedge = true
+|# writes
+[[route]]
+prefix = "/a"
+service = "a"
+methods = [
+  "POST",
+  "PUT",
+]
+class = "long"
+|[[route]]
+prefix = "/b/c"
+service = "b"
+timeout_ms = 900
+|[[service]]
+name = "c"
+depends = ["a", "b"]
+slots = 1
+connections = 1
+|[[route]]
+prefix = "/b"
+service = "c"
+"#;
+
+/// Lines and blocks that a cut could take for something else, separated by `|`; `\n` and the like
+/// stand for themselves.
+const SNIPPETS: &str = r#"[[route]]|[[service]]|[[ route ]]|  [[service]]|	[[route]] # x|[["route"]]|[['service']]
+|[[route]]x|[[route|[route]]|[ [route]]|[[route.x]]|[[service.depends]]|[service.x]|[route.class]|[service]|[x]
+|service = []|route = []|service = [{ name = "z", slots = 1, connections = 1 }]|service.x = 1|route.prefix = "/z"
+|class = """\nlong"""|class = '''\nlong'''|class = """\n[[route]]\n"""|mesh = """\n[[route]]|"""|'''|]|["GET"]
+|# [[route]]|  # [[service]]| |\r|\u{feff}|methods = [\n"GET",\n]|methods = [\n[[route]]\n]|depends = ["b"]|depends = []
+|queue = 9|timeout_ms = 8|slots = 0|hedge = true|scope = "depends"|claim_window_s = 70|class."x" = 1|"class" = 'short'
+|[[route]]\nprefix = "/z"\nservice = "b"|[[ route ]]\nprefix = "/z/y"\nservice = "c"|[["route"]]\nprefix = "/y"\nservice = "a"
+|[[service]]\nname = "d"\nslots = 1\nconnections = 2|[[service]]\nname = "e"\nslots = 1\nconnections = 2\ndepends = ["c"]
+|[[route]]\nprefix = "/w"\nservice = "b"\n[[ service ]]\nname = "f"\nslots = 1\nconnections = 1
+|[[route]]\nprefix = "/w"\nservice = "b"\n[["route"]]\nprefix = "/v"\nservice = "b""#;
+
+type Edit = (
+    u8,
+    prop::sample::Index,
+    prop::sample::Index,
+    prop::sample::Index,
+);
+
+/// Cuts at header lines without a look at strings, as an operator reads the text.
+fn blocks(text: &str) -> Vec<String> {
+    let mut blocks = vec![String::new()];
+    for line in text.split_inclusive('\n') {
+        if line.trim_start().starts_with("[[") {
+            blocks.push(String::new());
+        }
+        blocks.last_mut().expect("not empty").push_str(line);
+    }
+    blocks
+}
+
+fn snippet(i: prop::sample::Index) -> String {
+    let all: Vec<&str> = SNIPPETS.split('|').collect();
+    let raw = all[i.index(all.len())].trim_end_matches('\n');
+    let text = raw.replace("\\n", "\n").replace("\\r", "\r");
+    text.replace("\\u{feff}", "\u{feff}") + "\n"
+}
+
+/// Writes the string value of a line in another way.
+fn requote(line: &str, way: usize) -> String {
+    let Some((key, value)) = line.trim_end().split_once(" = \"") else {
+        return line.to_owned();
+    };
+    let v = value.trim_end_matches('"');
+    let quoted = ["'V'", "\"\"\"\nV\"\"\"", "'''\nV'''", "\"\"\"\\\n  V\"\"\""][way % 4];
+    format!("\"{key}\" = {}\n", quoted.replace('V', v))
+}
+
+fn change_digit(line: &str, to: usize) -> String {
+    let digit = line.rfind(|c: char| c.is_ascii_digit());
+    digit.map_or_else(
+        || line.to_owned(),
+        |i| format!("{}{}{}", &line[..i], to % 10, &line[i + 1..]),
+    )
+}
+
+/// Applies one edit to the lines or the blocks of `text`.
+fn edit(text: &str, (op, at, to, with): &Edit) -> String {
+    let mut parts = match op % 16 {
+        0..8 => text.split_inclusive('\n').map(str::to_owned).collect(),
+        _ => blocks(text),
+    };
+    if parts.is_empty() {
+        parts.push(String::new());
+    }
+    let (i, j) = (at.index(parts.len()), to.index(parts.len()));
+    match op % 16 {
+        0 | 8 => drop(parts.remove(i)),
+        1 | 9 => parts.insert(j, parts[i].clone()),
+        2 | 10 => parts.swap(i, j),
+        3 => parts[i] = format!("\t {}", parts[i]),
+        4 => parts[i] = parts[i].replace('\n', "\r\n"),
+        5 => parts[i] = requote(&parts[i], j),
+        6 => parts[i] = change_digit(&parts[i], j),
+        7 => parts[i] = snippet(*with),
+        11 => return text.replace("\r\n", "\n").replace('\n', "\r\n"),
+        12 => parts[i] = parts[i].replace("/b", "/b/d").replace("\"a\"", "\"b\""),
+        13 => drop(parts[i].pop()),
+        14 => parts.insert(i, snippet(*with)),
+        _ => parts.push(snippet(*with)),
+    }
+    parts.concat()
+}
+
+type Compiled = std::result::Result<Snapshot, Rejection>;
+
+fn check_equal(one: &Compiled, other: &Compiled) -> std::result::Result<(), TestCaseError> {
+    let (a, b) = match (one, other) {
+        (Ok(a), Ok(b)) => (a, b),
+        _ => {
+            prop_assert_eq!(one.as_ref().err(), other.as_ref().err());
+            return Ok(());
+        }
+    };
+    let head = |s: &Snapshot| {
+        (
+            s.version(),
+            s.digest(),
+            s.text().clone(),
+            s.mesh().to_owned(),
+        )
+    };
+    prop_assert_eq!(head(a), head(b));
+    prop_assert_eq!((a.scope(), a.claim_window()), (b.scope(), b.claim_window()));
+    prop_assert!(a.services().eq(b.services()), "services");
+    prop_assert_eq!(a.routes(), b.routes());
+    let paths = a.routes().iter().map(|r| format!("{}/x", r.prefix));
+    for path in paths.chain(["/", "/a", "/b", "/b/c", "/b/d", "/q", "/z/y/x"].map(str::to_owned)) {
+        for method in ["GET", "POST", "PUT", "BREW"] {
+            prop_assert_eq!(a.route_for(method, &path), b.route_for(method, &path));
+        }
+    }
+    Ok(())
+}
+
+fn shares_a_route(one: &Snapshot, other: &Snapshot) -> bool {
+    let shared = |r: &config::Route| {
+        let mut others = other.routes().iter();
+        others.any(|o| Arc::ptr_eq(&o.prefix, &r.prefix))
+    };
+    one.routes().iter().any(shared)
+}
+
+/// Guards against a text that is read in another way after some version than alone: accepted by one
+/// way only, with another rejection, or with other services, routes or look-ups.
+#[gtest]
+fn compiling_after_any_version_gives_the_same() {
+    let cfg = ProptestConfig {
+        cases: 3_000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0x5eed_0002),
+        ..ProptestConfig::default()
+    };
+    let edits = prop::collection::vec(any::<Edit>(), 0..3);
+    let versions = prop::collection::vec((edits, any::<bool>()), 1..8);
+    let (accepted, rejected, shared) = (Cell::new(0), Cell::new(0), Cell::new(0));
+    let count = |c: &Cell<u32>| c.set(c.get() + 1);
+    let result = TestRunner::new(cfg).run(&(0..4, versions), |(kind, versions)| {
+        let (mesh, head) = if kind == 0 {
+            (MESH, HEAD)
+        } else {
+            ("m", PLAIN_HEAD)
+        };
+        let mut text = format!("{head}{}", BLOCKS.replace('|', ""));
+        let mut previous = Snapshot::empty(mesh);
+        for (n, (edits, keep)) in versions.iter().enumerate() {
+            text = edits.iter().fold(text, |t, e| edit(&t, e));
+            let version = Version(n as u64 + 1);
+            let full = Snapshot::compile(version, mesh, text.as_str());
+            let after = Snapshot::compile_after(&previous, version, text.as_str());
+            check_equal(&after, &full)?;
+            match after {
+                Ok(next) => {
+                    count(&accepted);
+                    if shares_a_route(&next, &previous) {
+                        count(&shared);
+                    }
+                    previous = next;
+                }
+                Err(_) => {
+                    count(&rejected);
+                    // Most edits of an invalid text leave it invalid.
+                    if !*keep && previous.version() != Version(0) {
+                        text = previous.text().to_string();
+                    }
+                }
+            }
+        }
+        Ok(())
+    });
+    expect_that!(result, ok(anything()));
+    let counts = (accepted.get(), rejected.get(), shared.get());
+    expect_that!(
+        counts,
+        (gt(3_000), gt(3_000), gt(2_000)),
+        "too few of a kind"
+    );
+}
