Rebuild only what changed when compiling after a version

A profile showed moves of large block values, clones of routes that were then dropped, and nine sets of names for the chain rule. New services and routes are boxed, services and routes are rebuilt only when one of them differs, and the chain rule works on positions instead of names.

--- a/crates/config/src/blocks.rs
+++ b/crates/config/src/blocks.rs
@@ -7,6 +7,7 @@
 //! array leaves a block that isn't a document.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use wire::ServiceName;
 
@@ -65,7 +66,7 @@
     /// Start of each block in bytes, with what it defines.
     pub(crate) blocks: Vec<(u32, Item)>,
     /// Services in the order of the text.
-    pub(crate) services: Vec<ServiceName>,
+    pub(crate) services: Arc<Vec<ServiceName>>,
 }
 
 /// Looks up blocks of a new text among those of an earlier one.
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -305,12 +305,17 @@
 /// Round n keeps those from which a chain of more than n services starts, so a cycle never leaves
 /// the set.
 fn starts_of_long_chains(services: &Services) -> Vec<&Service> {
-    let mut longer: Vec<&Service> = services.values().collect();
+    let names: Vec<&ServiceName> = services.keys().collect();
+    let position = |d: &ServiceName| names.binary_search(&d).ok();
+    let depends = |s: &Service| s.depends.iter().filter_map(position).collect();
+    let depends: Vec<Vec<usize>> = services.values().map(depends).collect();
+    let mut longer = vec![true; names.len()];
     for _ in 0..MAX_CHAIN {
-        let names: std::collections::BTreeSet<_> = longer.iter().map(|s| &s.name).collect();
-        longer.retain(|s| s.depends.iter().any(|d| names.contains(d)));
+        let next = depends.iter().map(|deps| deps.iter().any(|d| longer[*d]));
+        longer = next.collect();
     }
-    longer
+    let found = services.values().zip(longer).filter(|(_, longer)| *longer);
+    found.map(|(s, _)| s).collect()
 }
 
 fn is_name(s: &str) -> bool {
--- a/crates/config/src/incremental.rs
+++ b/crates/config/src/incremental.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use wire::{Digest, Version};
+use wire::{Digest, ServiceName, Version};
 
 use crate::blocks::{Cut, Item, Kept, Layout, cut};
 use crate::check::{Checker, Services, link};
@@ -30,20 +30,24 @@
     }
     let cut = cut(text)?;
     let (scope, claim_window) = read_head(cut.head, &previous.mesh)?;
-    let blocks = read_blocks(previous, &cut)?;
-    let services = services(previous, &blocks)?;
-    let routes = routes(previous, &blocks, &services)?;
+    let read = Read::blocks(previous, &cut)?;
+    let (services, order) = services(previous, &read.services)?;
+    let routes = routes(previous, &read.routes, &services)?;
     let table = table(previous, &routes)?;
+    let layout = Layout {
+        blocks: read.blocks,
+        services: order,
+    };
     Some(Snapshot {
         version,
         digest: Digest::of(text.as_bytes()),
         mesh: previous.mesh.clone(),
         scope,
         claim_window,
-        layout: Arc::new(layout(&cut, &blocks)?),
         services,
         routes,
         table,
+        layout: Arc::new(layout),
         text: text.clone(),
     })
 }
@@ -58,27 +62,32 @@
     Some((raw.scope, cx.head(&raw, mesh).ok()?))
 }
 
-/// A block of the new text.
+/// Where a service or a route of the new text comes from.
+#[derive(Debug)]
+enum Source<T> {
+    /// The n-th of the previous text.
+    Kept(u32),
+    New(T),
+}
+
+/// Returns whether the sources are all `count` items of the previous text in the same order.
+fn is_same<T>(sources: &[Source<T>], count: usize) -> bool {
+    let in_place = |(i, s): (usize, &Source<T>)| matches!(s, Source::Kept(n) if *n as usize == i);
+    sources.len() == count && sources.iter().enumerate().all(in_place)
+}
+
+/// A block that the previous text doesn't have.
 #[derive(Debug)]
 enum Block<'a> {
-    KeptService(&'a Service, u32),
-    KeptRoute(&'a Route, u32),
-    NewService(Service),
-    /// Checked after the services.
-    NewRoute(&'a str, RawRoute),
+    Service(Box<Service>),
+    Route(NewRoute<'a>),
 }
 
-fn read_blocks<'a>(previous: &'a Snapshot, cut: &Cut<'a>) -> Option<Vec<Block<'a>>> {
-    let kept = Kept::new(&previous.text, &previous.layout, &cut.blocks);
-    let read = |(i, text): (usize, &&'a str)| match kept.find(i, text) {
-        Some(Item::Service(n)) => {
-            let name = &previous.layout.services[n as usize];
-            Some(Block::KeptService(previous.service(name)?, n))
-        }
-        Some(Item::Route(n)) => Some(Block::KeptRoute(&previous.routes[n as usize], n)),
-        None => read_block(text),
-    };
-    cut.blocks.iter().enumerate().map(read).collect()
+/// A route that is checked after the services.
+#[derive(Debug)]
+struct NewRoute<'a> {
+    text: &'a str,
+    raw: Box<RawRoute>,
 }
 
 /// Reads a block that defines one service or one route.
@@ -86,65 +95,112 @@
     let cx = Checker { text };
     let mut raw: RawBlock = cx.parse().ok()?;
     match (raw.services.len(), raw.routes.len()) {
-        (1, 0) => Some(Block::NewService(cx.service(&raw.services[0]).ok()?)),
-        (0, 1) => Some(Block::NewRoute(text, raw.routes.remove(0))),
+        (1, 0) => Some(Block::Service(cx.service(&raw.services[0]).ok()?.into())),
+        (0, 1) => {
+            let raw = raw.routes.remove(0).into();
+            Some(Block::Route(NewRoute { text, raw }))
+        }
         _ => None,
     }
 }
 
-fn services(previous: &Snapshot, blocks: &[Block<'_>]) -> Option<Arc<Services>> {
-    let mut found = Vec::with_capacity(previous.services.len());
-    let mut same = true;
-    for b in blocks {
-        match b {
-            Block::KeptService(s, n) => {
-                same &= *n as usize == found.len();
-                found.push(*s);
-            }
-            Block::NewService(s) => {
-                same = false;
-                found.push(s);
-            }
-            Block::KeptRoute(..) | Block::NewRoute(..) => {}
+/// The blocks of the new text.
+#[derive(Debug)]
+struct Read<'a> {
+    blocks: Vec<(u32, Item)>,
+    services: Vec<Source<Box<Service>>>,
+    routes: Vec<Source<NewRoute<'a>>>,
+}
+
+impl<'a> Read<'a> {
+    fn blocks(previous: &Snapshot, cut: &Cut<'a>) -> Option<Read<'a>> {
+        let kept = Kept::new(&previous.text, &previous.layout, &cut.blocks);
+        let mut read = Read {
+            blocks: Vec::with_capacity(cut.blocks.len()),
+            services: Vec::with_capacity(previous.services.len()),
+            routes: Vec::with_capacity(previous.routes.len()),
+        };
+        let mut start = u32::try_from(cut.head.len()).ok()?;
+        for (i, text) in cut.blocks.iter().enumerate() {
+            let item = match kept.find(i, text) {
+                Some(Item::Service(n)) => read.add_service(Source::Kept(n)),
+                Some(Item::Route(n)) => read.add_route(Source::Kept(n)),
+                None => match read_block(text)? {
+                    Block::Service(s) => read.add_service(Source::New(s)),
+                    Block::Route(r) => read.add_route(Source::New(r)),
+                },
+            };
+            read.blocks.push((start, item?));
+            start += u32::try_from(text.len()).ok()?;
         }
+        Some(read)
     }
-    if same && found.len() == previous.services.len() {
-        return Some(previous.services.clone());
+
+    fn add_service(&mut self, source: Source<Box<Service>>) -> Option<Item> {
+        self.services.push(source);
+        (self.services.len() <= MAX_SERVICES).then(|| Item::Service(self.services.len() as u32 - 1))
     }
-    if found.len() > MAX_SERVICES {
-        return None;
+
+    fn add_route(&mut self, source: Source<NewRoute<'a>>) -> Option<Item> {
+        self.routes.push(source);
+        (self.routes.len() <= MAX_ROUTES).then(|| Item::Route(self.routes.len() as u32 - 1))
+    }
+}
+
+/// Returns the services and their names in the order of the text.
+fn services(
+    previous: &Snapshot,
+    sources: &[Source<Box<Service>>],
+) -> Option<(Arc<Services>, Arc<Vec<ServiceName>>)> {
+    let order = &previous.layout.services;
+    if is_same(sources, order.len()) && order.len() == previous.services.len() {
+        return Some((previous.services.clone(), order.clone()));
+    }
+    let mut list = Vec::with_capacity(sources.len());
+    for s in sources {
+        list.push(match s {
+            Source::Kept(n) => previous.service(&order[*n as usize])?,
+            Source::New(s) => &**s,
+        });
     }
-    link(&found).map(Arc::new)
+    let names = list.iter().map(|s| s.name.clone()).collect();
+    Some((Arc::new(link(&list)?), Arc::new(names)))
 }
 
 fn routes(
     previous: &Snapshot,
-    blocks: &[Block<'_>],
+    sources: &[Source<NewRoute<'_>>],
     services: &Services,
 ) -> Option<Arc<Vec<Route>>> {
+    let old = &previous.routes;
     let same_names = services.keys().eq(previous.services.keys());
-    let mut routes = Vec::with_capacity(previous.routes.len());
-    let mut same = true;
-    for b in blocks {
-        match b {
-            Block::KeptRoute(r, n) => {
-                if !same_names && !services.contains_key(&r.service) {
-                    return None;
-                }
-                same &= *n as usize == routes.len();
-                routes.push((*r).clone());
-            }
-            Block::NewRoute(text, raw) => {
-                same = false;
-                routes.push(Checker { text }.route(raw, services).ok()?);
-            }
-            Block::KeptService(..) | Block::NewService(_) => {}
-        }
+    if !same_names && !kept_have_services(old, sources, services) {
+        return None;
+    }
+    if is_same(sources, old.len()) {
+        return Some(old.clone());
     }
-    if same && routes.len() == previous.routes.len() {
-        return Some(previous.routes.clone());
+    let make = |s: &Source<NewRoute<'_>>| match s {
+        Source::Kept(n) => Some(old[*n as usize].clone()),
+        Source::New(r) => Checker { text: r.text }.route(&r.raw, services).ok(),
+    };
+    let mut routes = Vec::with_capacity(sources.len());
+    for s in sources {
+        routes.push(make(s)?);
     }
-    (routes.len() <= MAX_ROUTES).then(|| Arc::new(routes))
+    Some(Arc::new(routes))
+}
+
+fn kept_have_services(
+    old: &[Route],
+    sources: &[Source<NewRoute<'_>>],
+    services: &Services,
+) -> bool {
+    let exists = |s: &Source<NewRoute<'_>>| match s {
+        Source::Kept(n) => services.contains_key(&old[*n as usize].service),
+        Source::New(_) => true,
+    };
+    sources.iter().all(exists)
 }
 
 /// Returns the table of `routes`, or nothing if two routes take the same requests.
@@ -158,25 +214,3 @@
     }
     Table::new(routes).map(Arc::new)
 }
-
-fn layout(cut: &Cut<'_>, blocks: &[Block<'_>]) -> Option<Layout> {
-    let mut layout = Layout::default();
-    let mut at = u32::try_from(cut.head.len()).ok()?;
-    let mut routes = 0;
-    for (b, text) in blocks.iter().zip(&cut.blocks) {
-        let item = match b {
-            Block::KeptService(Service { name, .. }, _)
-            | Block::NewService(Service { name, .. }) => {
-                layout.services.push(name.clone());
-                Item::Service(u32::try_from(layout.services.len() - 1).ok()?)
-            }
-            Block::KeptRoute(..) | Block::NewRoute(..) => {
-                routes += 1;
-                Item::Route(routes - 1)
-            }
-        };
-        layout.blocks.push((at, item));
-        at += u32::try_from(text.len()).ok()?;
-    }
-    Some(layout)
-}
