Share names with routes and keep the table of routes smaller

Each route had its own copy of its service's name, and each prefix an allocated list of its routes in the table. Routes now share the name with their service; the table links routes of one prefix by number.

Times vary with the load of the machine; the bytes don't.

--- a/crates/config/examples/cost.rs
+++ b/crates/config/examples/cost.rs
@@ -13,8 +13,9 @@
 const ROUTES_PER_SERVICE: usize = 10;
 const RUNS: usize = 41;
 const LOOKUPS: usize = 100_000;
-/// Snapshots held at once to measure the resident bytes of one.
-const HELD: usize = 16;
+/// Snapshots held at once to measure the resident bytes of one. Memory that was freed before counts
+/// for less, the more there are.
+const HELD: usize = 64;
 const PAGE_BYTES: usize = 4_096;
 
 fn text(services: usize) -> String {
@@ -74,13 +75,26 @@
     pages.unwrap_or(0) * PAGE_BYTES
 }
 
-/// Returns snapshots of one text and the resident bytes of each, its text included.
-fn hold_snapshots(text: &str) -> (Vec<Snapshot>, usize) {
+/// Returns snapshots and the resident bytes of each, texts included.
+fn hold(mut make: impl FnMut(usize) -> Snapshot) -> (Vec<Snapshot>, usize) {
     let before = resident();
-    let held = (0..HELD).map(|_| compile(&text.into())).collect();
+    let held = (0..HELD).map(&mut make).collect();
     (held, resident().saturating_sub(before) / HELD)
 }
 
+/// Returns the resident bytes of a snapshot alone and of one after a version with another route.
+fn snapshot_bytes(services: usize) -> ([Vec<Snapshot>; 2], [usize; 2]) {
+    let text = text(services);
+    let (alone, bytes) = hold(|_| compile(&text.as_str().into()));
+    let mut last = compile_after(&alone[0], &text.as_str().into());
+    let (after, bytes_after) = hold(|n| {
+        let next = text.replacen("/r5\"", &format!("/r5\"\ntimeout_ms = {}", 900 + n), 1);
+        last = compile_after(&last, &next.into());
+        last.clone()
+    });
+    ([alone, after], [bytes, bytes_after])
+}
+
 fn lookup(s: &Snapshot, services: usize) -> Duration {
     let paths: Vec<String> = (0..services)
         .map(|i| format!("/s{i:04}/r5/item?x=1"))
@@ -94,9 +108,9 @@
 
 fn main() {
     // All snapshots are held until each size is measured: freed memory would be used again unseen.
-    let held = SERVICES.map(|n| hold_snapshots(&text(n)));
-    for (n, (_, bytes)) in SERVICES.into_iter().zip(&held) {
-        println!("{n} services: {bytes} bytes of a snapshot");
+    let held = SERVICES.map(snapshot_bytes);
+    for (n, (_, [alone, after])) in SERVICES.into_iter().zip(&held) {
+        println!("{n} services: snapshot {alone} bytes, after a changed route {after} bytes");
     }
     drop(held);
     SERVICES.into_iter().for_each(measure_times);
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -230,10 +230,11 @@
             );
             return Err(self.invalid(&raw.prefix, reason));
         }
-        let service = ServiceName::from(raw.service.get_ref().as_str());
-        if !services.contains_key(&service) {
-            return Err(self.invalid(&raw.service, format!("no service `{service}`")));
-        }
+        let name = ServiceName::from(raw.service.get_ref().as_str());
+        // Each route shares the allocation of the name with its service.
+        let Some((service, _)) = services.get_key_value(&name) else {
+            return Err(self.invalid(&raw.service, format!("no service `{name}`")));
+        };
         let methods = self.methods(raw)?;
         let reads = methods.only_reads();
         let repeat = raw
@@ -244,7 +245,7 @@
             id: Fingerprint::of(&[prefix.as_bytes(), &[methods.bits()]]),
             prefix: prefix.as_str().into(),
             methods,
-            service,
+            service: service.clone(),
             repeat,
             class: raw.class,
             timeout: Duration::from_millis(timeout_ms.into()),
--- a/crates/config/src/table.rs
+++ b/crates/config/src/table.rs
@@ -2,14 +2,14 @@
 
 use crate::snapshot::Route;
 
-const ROOT: usize = 0;
+const ROOT: u32 = 0;
 
 #[derive(Debug, Default)]
 struct Node {
     /// Next segment and node, in order of segment.
-    children: Vec<(Box<str>, usize)>,
-    /// Routes whose prefix ends here.
-    routes: Vec<usize>,
+    children: Vec<(Box<str>, u32)>,
+    /// The last route whose prefix ends here.
+    last: Option<u32>,
 }
 
 /// A tree of path segments. A look-up costs one binary search per matching segment and allocates
@@ -17,12 +17,16 @@
 #[derive(Debug)]
 pub(crate) struct Table {
     nodes: Vec<Node>,
+    /// For each route, the one before it with the same prefix. Lists of their own would take an
+    /// allocation per prefix.
+    before: Vec<Option<u32>>,
 }
 
 impl Default for Table {
     fn default() -> Table {
         Table {
             nodes: vec![Node::default()],
+            before: Vec::new(),
         }
     }
 }
@@ -43,13 +47,20 @@
             return true;
         };
         let at = segments(&last.prefix).fold(ROOT, |at, seg| self.child_or_insert(at, seg));
-        let routes = &mut self.nodes[at].routes;
-        let free = |i: &usize| !others[*i].methods.overlaps(last.methods);
-        let valid = routes.iter().all(free);
-        routes.push(others.len());
+        let is_free = |i: usize| !others[i].methods.overlaps(last.methods);
+        let valid = self.ending_at(at).all(is_free);
+        let node = &mut self.nodes[at as usize];
+        self.before.push(node.last);
+        node.last = u32::try_from(others.len()).ok();
         valid
     }
 
+    /// Returns the routes whose prefix ends at a node.
+    fn ending_at(&self, node: u32) -> impl Iterator<Item = usize> {
+        let last = self.nodes[node as usize].last;
+        std::iter::successors(last, |i| self.before[*i as usize]).map(|i| i as usize)
+    }
+
     pub(crate) fn find<'a>(
         &self,
         routes: &'a [Route],
@@ -60,20 +71,28 @@
         if !path.starts_with('/') {
             return None;
         }
-        let mut node = &self.nodes[ROOT];
-        let mut best = route_at(routes, node, method);
+        let mut node = ROOT;
+        let mut best = self.route_at(routes, node, method);
         for seg in path[1..].split('/') {
-            let Some(next) = child(node, seg) else { break };
-            node = &self.nodes[next];
-            best = route_at(routes, node, method).or(best);
+            let children = &self.nodes[node as usize].children;
+            let Ok(i) = position(children, seg) else {
+                break;
+            };
+            node = children[i].1;
+            best = self.route_at(routes, node, method).or(best);
         }
         best
     }
 
-    fn child_or_insert(&mut self, at: usize, seg: &str) -> usize {
-        let new = self.nodes.len();
-        let children = &mut self.nodes[at].children;
-        match children.binary_search_by(|(s, _)| (**s).cmp(seg)) {
+    fn route_at<'a>(&self, routes: &'a [Route], node: u32, method: &str) -> Option<&'a Route> {
+        let mut at = self.ending_at(node).map(|i| &routes[i]);
+        at.find(|r| r.methods.contains(method))
+    }
+
+    fn child_or_insert(&mut self, at: u32, seg: &str) -> u32 {
+        let new = self.nodes.len() as u32;
+        let children = &mut self.nodes[at as usize].children;
+        match position(children, seg) {
             Ok(i) => children[i].1,
             Err(i) => {
                 children.insert(i, (seg.into(), new));
@@ -84,16 +103,10 @@
     }
 }
 
-fn segments(prefix: &str) -> impl Iterator<Item = &str> {
-    prefix.split('/').filter(|s| !s.is_empty())
-}
-
-fn child(node: &Node, seg: &str) -> Option<usize> {
-    let i = node.children.binary_search_by(|(s, _)| (**s).cmp(seg));
-    i.ok().map(|i| node.children[i].1)
+fn position(children: &[(Box<str>, u32)], seg: &str) -> Result<usize, usize> {
+    children.binary_search_by(|(s, _)| (**s).cmp(seg))
 }
 
-fn route_at<'a>(routes: &'a [Route], node: &Node, method: &str) -> Option<&'a Route> {
-    let mut at = node.routes.iter().map(|i| &routes[*i]);
-    at.find(|r| r.methods.contains(method))
+fn segments(prefix: &str) -> impl Iterator<Item = &str> {
+    prefix.split('/').filter(|s| !s.is_empty())
 }
