Check limits after a version, and match headers without a search

New tests: texts that grow over a limit from one version to the next, and an empty text after version 0.

--- a/crates/config/src/blocks.rs
+++ b/crates/config/src/blocks.rs
@@ -19,7 +19,7 @@
 }
 
 /// Cuts `text` at the headers of services and routes. Returns nothing if it has another line that
-/// may be a header, because the tables below such a line could belong to an earlier block.
+/// may be a header: its block would turn out to define something else, at the cost of reading it.
 pub(crate) fn cut(text: &str) -> Option<Cut<'_>> {
     let starts = starts(text)?;
     let ends = starts.iter().skip(1).copied().chain([text.len()]);
@@ -48,8 +48,14 @@
 /// Returns whether a line starts with the header of a service or a route. What follows the header
 /// is left to the parser.
 fn is_block_header(line: &str) -> bool {
-    let inner = line.strip_prefix("[[").and_then(|l| l.split_once("]]"));
-    inner.is_some_and(|(name, _)| matches!(name.trim_matches([' ', '\t']), "service" | "route"))
+    let space = [' ', '\t'];
+    let Some(name) = line.strip_prefix("[[").map(|l| l.trim_start_matches(space)) else {
+        return false;
+    };
+    let end = name
+        .strip_prefix("service")
+        .or_else(|| name.strip_prefix("route"));
+    end.is_some_and(|e| e.trim_start_matches(space).starts_with("]]"))
 }
 
 /// What a block defines: the n-th service or route of its text.
--- a/crates/config/tests/incremental.rs
+++ b/crates/config/tests/incremental.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::sync::Arc;
 
-use config::{Rejection, Snapshot};
+use config::{MAX_CHAIN, MAX_ROUTES, MAX_SERVICES, MAX_TEXT_BYTES, Rejection, Snapshot};
 use googletest::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::{RngSeed, TestRunner};
@@ -234,3 +234,49 @@
         "too few of a kind"
     );
 }
+
+fn service(i: usize, depends: &str) -> String {
+    format!("[[service]]\nname = \"s{i}\"\nslots = 1\nconnections = 1\ndepends = [{depends}]\n")
+}
+
+/// Makes the blocks of a text of a size.
+type Body<'a> = &'a dyn Fn(usize) -> String;
+
+/// Guards against a limit that a text can pass by growing from version to version.
+#[gtest]
+fn limits_hold_after_a_version() {
+    let services = |n: usize| (0..n).map(|i| service(i, "")).collect::<String>();
+    let route = |i: usize| format!("[[route]]\nprefix = \"/{i}\"\nservice = \"s0\"\n");
+    let routes = |n: usize| service(0, "") + &(0..n).map(route).collect::<String>();
+    let depends = |i: usize| {
+        i.checked_sub(1)
+            .map_or_else(String::new, |d| format!("\"s{d}\""))
+    };
+    let chain = |n: usize| (0..n).map(|i| service(i, &depends(i))).collect::<String>();
+    let pad = |n: usize| format!("{}#{}", service(0, ""), "x".repeat(n));
+    let room = MAX_TEXT_BYTES - PLAIN_HEAD.len() - pad(0).len();
+    let cases: [(&str, Body<'_>, usize); 4] = [
+        ("services", &services, MAX_SERVICES),
+        ("routes", &routes, MAX_ROUTES),
+        ("chain", &chain, MAX_CHAIN),
+        ("bytes", &pad, room),
+    ];
+    for (name, body, most) in cases {
+        let text = |n| format!("{PLAIN_HEAD}{}", body(n));
+        let empty = Snapshot::empty("m");
+        let last = Snapshot::compile_after(&empty, Version(1), text(most)).expect(name);
+        let after = Snapshot::compile_after(&last, Version(2), text(most + 1));
+        let full = Snapshot::compile(Version(2), "m", text(most + 1));
+        expect_that!(full.is_err(), eq(true), "{name}");
+        expect_that!(after.err(), eq(&full.err()), "{name}");
+    }
+}
+
+/// Guards against an empty text that is taken for the text of version 0, which is not valid.
+#[gtest]
+fn an_empty_text_is_refused_after_version_0() {
+    let after = Snapshot::compile_after(&Snapshot::empty("m"), Version(1), "");
+    let full = Snapshot::compile(Version(1), "m", "");
+    expect_that!(full.is_err(), eq(true));
+    expect_that!(after.err(), eq(&full.err()));
+}
