Measure changes that lie far apart and an added service

The example had only changes of one block. A change of the first and the last block looks up each block between them; an added service makes the table again and checks the service of each route.

--- a/crates/config/examples/cost.rs
+++ b/crates/config/examples/cost.rs
@@ -11,6 +11,14 @@
 
 const SERVICES: [usize; 3] = [49, 490, 980];
 const ROUTES_PER_SERVICE: usize = 10;
+const CHANGES: [&str; 6] = [
+    "nothing",
+    "service",
+    "route",
+    "prefix",
+    "first and last block",
+    "service added",
+];
 const RUNS: usize = 41;
 const LOOKUPS: usize = 100_000;
 /// Snapshots held at once to measure the resident bytes of one. Memory that was freed before counts
@@ -33,13 +41,21 @@
     format!("format = 1\nmesh = \"m\"\n{blocks}")
 }
 
-/// Returns the text with one change in the middle of it.
+/// Returns the text with one change, in the middle of it if the change doesn't say where.
 fn changed(text: &str, change: &str) -> String {
     let middle = text.len() / 2;
     let (before, after) = text.split_at(middle);
     let after = match change {
         "nothing" => after.to_owned(),
         "service" => after.replacen("slots = 6", "slots = 7", 1),
+        "first and last block" => {
+            let first = before.replacen("slots = 6", "slots = 7", 1);
+            return format!("{first}{after}timeout_ms = 900\n");
+        }
+        "service added" => {
+            let service = "[[service]]\nname = \"new\"\nslots = 6\nconnections = 130\n";
+            return format!("{text}{service}[[route]]\nprefix = \"/new\"\nservice = \"new\"\n");
+        }
         "route" => after.replacen("/r5\"", "/r5\"\ntimeout_ms = 900", 1),
         _ => after.replacen("/r5\"", "/r5/new\"", 1),
     };
@@ -128,11 +144,11 @@
         median(|| timed(|| compile_after(&Snapshot::empty("m"), &old))),
         lookup(&s, n),
     );
-    for change in ["nothing", "service", "route", "prefix"] {
+    for change in CHANGES {
         let new: Arc<str> = changed(&old, change).into();
         let delta = Delta::between(&old, &new);
         println!(
-            "  one {change} changed: {:?}, delta {} bytes in {:?}",
+            "  {change}: {:?}, delta {} bytes in {:?}",
             median(|| timed(|| compile_after(&s, &new))),
             postcard::to_stdvec(&delta).expect("encodes").len(),
             median(|| timed(|| Delta::between(&old, &new))),
