Test the commands and name key and line of bad settings

Cause: the commands had no tests of their own, and settings that were out of range were reported without a line.

Ruled out: keeping a span with each raw setting. It would have made each rule longer; the line is looked up in the parsed document only after a fault.

Changed: SettingsError is a struct of code, line, key and reason. Two ports, an own seed that isn't the rpc port, a broadcast address and a wildcard StatsD address are refused with the name of the key. `briarlug node` refuses an address that the instance doesn't have (702). Members on the state page are in order of service and name.

--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -45,7 +45,7 @@
     pub target: String,
     /// Load of the target.
     pub load: Load,
-    /// Members in scope.
+    /// Members in scope, in order of service and name.
     pub members: Vec<MemberReport>,
     /// Fingerprints of quarantined requests.
     pub quarantined: Vec<String>,
@@ -113,6 +113,8 @@
         version: r.version.0,
         ejected: ejected.contains(&r.id),
     };
+    let mut members: Vec<_> = shared.all_members().await.iter().map(member).collect();
+    members.sort_by(|a, b| (&a.service, &a.name).cmp(&(&b.service, &b.name)));
     let spread = spread_status(shared).await;
     let log = match spread.log {
         LogState::Unknown => "unknown",
@@ -135,7 +137,7 @@
         log_reader: spread.reader,
         target: phase.to_owned(),
         load: shared.gate.load(),
-        members: shared.all_members().await.iter().map(member).collect(),
+        members,
         quarantined: shared
             .quarantined()
             .iter()
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,13 +1,17 @@
 //! Settings of a node: raw TOML to checked values.
 
-use std::net::{IpAddr, SocketAddr};
+mod fault;
+
+use std::net::{IpAddr, SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
 
 use ops::{LogFormat, Statsd, TraceCfg};
 use serde::Deserialize;
-use snafu::Snafu;
-use wire::{Code, Domain, InstanceId, KeyRing, MeshKey, ServiceName};
+use wire::{Domain, InstanceId, KeyRing, MeshKey, ServiceName};
+
+pub use fault::SettingsError;
+use fault::{Fault, invalid};
 
 const MAX_NAME_BYTES: usize = 64;
 const MIN_SECRET_BYTES: usize = 16;
@@ -15,37 +19,6 @@
 const CHECKPOINT_S: (u64, u64) = (1, 86_400);
 const MAX_SEEDS: usize = 64;
 
-/// Why settings were refused.
-#[derive(Debug, PartialEq, Eq, Snafu)]
-pub enum SettingsError {
-    /// Not TOML, an unknown key, or a value of the wrong type.
-    #[snafu(display("{}: line {line}: {reason}", Code::SettingsUnreadable))]
-    Unreadable {
-        /// Line, from 1.
-        line: usize,
-        /// Reason with the name of the key.
-        reason: String,
-    },
-    /// A value is out of range or unsafe.
-    #[snafu(display("{}: {key}: {reason}", Code::SettingsInvalid))]
-    Invalid {
-        /// Name of the key.
-        key: &'static str,
-        /// Reason.
-        reason: String,
-    },
-}
-
-impl SettingsError {
-    /// Returns the numbered code.
-    pub const fn code(&self) -> Code {
-        match self {
-            SettingsError::Unreadable { .. } => Code::SettingsUnreadable,
-            SettingsError::Invalid { .. } => Code::SettingsInvalid,
-        }
-    }
-}
-
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawSettings {
@@ -224,53 +197,50 @@
     pub fn id(&self) -> InstanceId {
         InstanceId::of(&self.name)
     }
+
+    /// Checks that `address` is an address of this instance. `text` is the text of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the line of the key when the operating system can't bind the address.
+    pub fn check_instance(&self, text: &str) -> Result<(), SettingsError> {
+        match UdpSocket::bind((self.address, 0)) {
+            Ok(_) => Ok(()),
+            Err(e) => {
+                let reason = format!("{} is not an address of this instance: {e}", self.address);
+                let fault = invalid("address", reason);
+                fault.map_err(|f: Fault| f.locate(text))
+            }
+        }
+    }
 }
 
 impl TryFrom<&str> for Settings {
     type Error = SettingsError;
 
     fn try_from(text: &str) -> Result<Settings, SettingsError> {
-        let raw: RawSettings = toml::from_str(text).map_err(|e| SettingsError::Unreadable {
-            line: e
-                .span()
-                .map_or(1, |s| 1 + text[..s.start].matches('\n').count()),
-            reason: e.message().to_owned(),
-        })?;
-        raw.try_into()
+        let raw: RawSettings = toml::from_str(text).map_err(|e| fault::unreadable(text, &e))?;
+        Settings::check(raw).map_err(|f| f.locate(text))
     }
 }
 
-impl TryFrom<RawSettings> for Settings {
-    type Error = SettingsError;
-
-    fn try_from(raw: RawSettings) -> Result<Settings, SettingsError> {
+impl Settings {
+    fn check(raw: RawSettings) -> Result<Settings, Fault> {
         check_name("mesh", &raw.mesh)?;
         check_name("name", &raw.name)?;
         check_name("service", &raw.service)?;
         check_name("region", &raw.region)?;
         check_name("domain", &raw.domain)?;
         check_address(raw.address)?;
-        check_seeds(&raw.seeds)?;
+        check_seeds(&raw)?;
         check_url("log.url", &raw.log.url)?;
         check_ports(&raw.ports)?;
-        if !(DRAIN_TIMEOUT_S.0..=DRAIN_TIMEOUT_S.1).contains(&raw.drain_timeout_s) {
-            let (least, most) = DRAIN_TIMEOUT_S;
-            return invalid(
-                "drain_timeout_s",
-                format!("must be {least} to {most} seconds"),
-            );
-        }
-        if !(CHECKPOINT_S.0..=CHECKPOINT_S.1).contains(&raw.log.checkpoint_s) {
-            let (least, most) = CHECKPOINT_S;
-            return invalid(
-                "log.checkpoint_s",
-                format!("must be {least} to {most} seconds"),
-            );
-        }
+        check_seconds("drain_timeout_s", raw.drain_timeout_s, DRAIN_TIMEOUT_S)?;
+        check_seconds("log.checkpoint_s", raw.log.checkpoint_s, CHECKPOINT_S)?;
         Ok(Settings {
             keys: key_ring(&raw.mesh, &raw.keys)?,
             trace: raw.trace.map(|t| trace(t, &raw.name)).transpose()?,
-            statsd: raw.metrics.map(|m| Statsd { addr: m.statsd }),
+            statsd: raw.metrics.map(|m| statsd(&m)).transpose()?,
             log_format: if raw.logs.json {
                 LogFormat::Json
             } else {
@@ -306,14 +276,7 @@
     }
 }
 
-fn invalid<T>(key: &'static str, reason: impl Into<String>) -> Result<T, SettingsError> {
-    Err(SettingsError::Invalid {
-        key,
-        reason: reason.into(),
-    })
-}
-
-fn check_name(key: &'static str, value: &str) -> Result<(), SettingsError> {
+fn check_name(key: &str, value: &str) -> Result<(), Fault> {
     let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
     if value.is_empty() || value.len() > MAX_NAME_BYTES || !value.chars().all(allowed) {
         let reason = format!("must be 1 to {MAX_NAME_BYTES} letters, digits, '-', '_' or '.'");
@@ -322,31 +285,47 @@
     Ok(())
 }
 
-fn check_address(address: IpAddr) -> Result<(), SettingsError> {
-    // Other nodes dial this address, so a wildcard would name no instance.
-    if address.is_unspecified() || address.is_multicast() {
-        return invalid(
-            "address",
-            "must be an address of this instance, not a wildcard",
-        );
+fn check_seconds(key: &str, n: u64, (least, most): (u64, u64)) -> Result<(), Fault> {
+    match (least..=most).contains(&n) {
+        true => Ok(()),
+        false => invalid(key, format!("{n} is not within {least} to {most} seconds")),
+    }
+}
+
+// Other nodes dial this address, so a wildcard would name no instance.
+fn check_address(address: IpAddr) -> Result<(), Fault> {
+    let is_broadcast = matches!(address, IpAddr::V4(a) if a.is_broadcast());
+    if address.is_unspecified() || address.is_multicast() || is_broadcast {
+        let reason = format!("{address} is not the address of one instance");
+        return invalid("address", reason);
     }
     Ok(())
 }
 
-fn check_seeds(seeds: &[SocketAddr]) -> Result<(), SettingsError> {
-    if seeds.len() > MAX_SEEDS {
-        return invalid("seeds", format!("must be at most {MAX_SEEDS}"));
+fn check_seeds(raw: &RawSettings) -> Result<(), Fault> {
+    let n = raw.seeds.len();
+    if n > MAX_SEEDS {
+        return invalid("seeds", format!("{n} seeds, the limit is {MAX_SEEDS}"));
     }
-    if seeds
-        .iter()
-        .any(|s| s.ip().is_unspecified() || s.port() == 0)
-    {
-        return invalid("seeds", "must name an address and a port");
+    for seed in &raw.seeds {
+        if seed.ip().is_unspecified() || seed.port() == 0 {
+            let reason = format!("{seed} does not name an address and a port");
+            return invalid("seeds", reason);
+        }
+        // Only the own ports are known here; a node that uses the same ports on each instance
+        // finds a wrong port by its own entry.
+        if seed.ip() == raw.address && raw.ports.rpc != 0 && seed.port() != raw.ports.rpc {
+            let reason = format!(
+                "{seed} is this instance, but its `ports.rpc` is {}",
+                raw.ports.rpc
+            );
+            return invalid("seeds", reason);
+        }
     }
     Ok(())
 }
 
-fn check_url(key: &'static str, url: &str) -> Result<(), SettingsError> {
+fn check_url(key: &str, url: &str) -> Result<(), Fault> {
     let parsed = reqwest::Url::parse(url);
     if !parsed.is_ok_and(|u| u.scheme() == "http" && u.has_host()) {
         return invalid(key, "must be an http:// URL with a host");
@@ -354,42 +333,58 @@
     Ok(())
 }
 
-fn check_ports(p: &RawPorts) -> Result<(), SettingsError> {
-    let tcp = [p.callers, p.peers, p.target, p.rpc, p.operator];
-    for (i, port) in tcp.iter().enumerate() {
-        if *port != 0 && tcp[..i].contains(port) {
-            return invalid("ports", format!("port {port} is used twice"));
+// Gossip is UDP and may share its number with a TCP port.
+fn check_ports(p: &RawPorts) -> Result<(), Fault> {
+    let tcp = [
+        ("callers", p.callers),
+        ("peers", p.peers),
+        ("target", p.target),
+        ("rpc", p.rpc),
+        ("operator", p.operator),
+    ];
+    for (i, (name, port)) in tcp.iter().enumerate() {
+        let other = tcp[..i].iter().find(|(_, o)| o == port && *port != 0);
+        if let Some((other, _)) = other {
+            let reason = format!("port {port} is used by `ports.{other}`");
+            return invalid(format!("ports.{name}"), reason);
         }
     }
     Ok(())
 }
 
-fn key_ring(mesh: &str, raw: &RawKeys) -> Result<KeyRing, SettingsError> {
-    let key = |k: &RawKey| {
-        if k.secret.len() < MIN_SECRET_BYTES {
-            return invalid(
-                "keys",
-                format!("a secret needs {MIN_SECRET_BYTES} bytes or more"),
-            );
-        }
-        Ok(MeshKey::new(k.number, &k.secret))
+fn key_ring(mesh: &str, raw: &RawKeys) -> Result<KeyRing, Fault> {
+    let send = mesh_key("keys.send.secret", &raw.send)?;
+    let also = match &raw.also {
+        Some(k) => Some(mesh_key("keys.also.secret", k)?),
+        None => None,
     };
-    let send = key(&raw.send)?;
-    let also = raw.also.as_ref().map(key).transpose()?;
     if raw
         .also
         .as_ref()
         .is_some_and(|k| k.number == raw.send.number)
     {
-        return invalid("keys", "two keys have the same number");
+        let reason = format!("{} is the number of `keys.send`", raw.send.number);
+        return invalid("keys.also.number", reason);
     }
     Ok(KeyRing::new(mesh, send, also))
 }
 
-fn trace(raw: RawTrace, instance: &str) -> Result<TraceCfg, SettingsError> {
+fn mesh_key(key: &str, raw: &RawKey) -> Result<MeshKey, Fault> {
+    let n = raw.secret.len();
+    if n < MIN_SECRET_BYTES {
+        let reason = format!("{n} bytes, a secret needs {MIN_SECRET_BYTES} or more");
+        return invalid(key, reason);
+    }
+    Ok(MeshKey::new(raw.number, &raw.secret))
+}
+
+fn trace(raw: RawTrace, instance: &str) -> Result<TraceCfg, Fault> {
     check_url("trace.endpoint", &raw.endpoint)?;
     if !(0.0..=1.0).contains(&raw.sample) {
-        return invalid("trace.sample", "must be 0 to 1");
+        return invalid(
+            "trace.sample",
+            format!("{} is not within 0 to 1", raw.sample),
+        );
     }
     Ok(TraceCfg {
         endpoint: raw.endpoint,
@@ -397,3 +392,11 @@
         instance: instance.to_owned(),
     })
 }
+
+fn statsd(raw: &RawMetrics) -> Result<Statsd, Fault> {
+    if raw.statsd.ip().is_unspecified() || raw.statsd.port() == 0 {
+        let reason = format!("{} does not name an address and a port", raw.statsd);
+        return invalid("metrics.statsd", reason);
+    }
+    Ok(Statsd { addr: raw.statsd })
+}
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -4,9 +4,8 @@
 use node::Settings;
 use pico_args::Arguments;
 use snafu::ResultExt;
-use wire::Version;
 
-use crate::util::{self, RejectedSnafu, Result, SettingsSnafu, print_out};
+use crate::util::{self, Result, SettingsSnafu, print_out};
 
 pub(crate) const USAGE: &str = "\
 Check a text or settings offline.
@@ -28,6 +27,7 @@
 }
 
 fn parse(mut args: Arguments) -> Result<Args> {
+    util::check_options(&args, &["--settings"])?;
     let settings: Option<String> = util::optional(&mut args, "--settings")?;
     let args = match settings {
         Some(file) => {
@@ -53,7 +53,7 @@
 
 fn check_settings(file: &str) -> Result<()> {
     let text = util::read_file(file)?;
-    let s = Settings::try_from(text.as_str()).context(SettingsSnafu)?;
+    let s = Settings::try_from(text.as_str()).context(SettingsSnafu { file })?;
     print_out(&format!(
         "{file}: ok, instance {} in {} of {}\n",
         s.name, s.domain, s.mesh
@@ -62,9 +62,7 @@
 
 fn check_text(file: &str, other: Option<&str>) -> Result<()> {
     let text = util::read_file(file)?;
-    let mesh = util::mesh_of(&text)?;
-    let snapshot =
-        Snapshot::compile(Version(1), &mesh, text.as_str()).context(RejectedSnafu { file })?;
+    let snapshot = util::compile(file, &text)?;
     let mut out = summary(file, &snapshot);
     if let Some(other) = other {
         out.push_str(&config::diff(&util::read_file(other)?, &text));
@@ -79,14 +77,21 @@
         s.mesh()
     );
     for route in s.routes() {
+        // The names have no width of their own.
+        let (methods, service) = (route.methods.to_string(), route.service.to_string());
+        let (repeat, class) = (word(route.repeat), word(route.class));
         out.push_str(&format!(
-            "  {:<24} {:<16} {:?}, {:?}, {} ms\n",
+            "  {:<24} {methods:<12} {service:<16} repeat={repeat} class={class} timeout_ms={} \
+             hedge={}\n",
             route.prefix,
-            route.service,
-            route.repeat,
-            route.class,
-            route.timeout.as_millis()
+            route.timeout.as_millis(),
+            route.hedge
         ));
     }
     out
 }
+
+/// Returns the word that the text has for a value.
+fn word(value: impl std::fmt::Debug) -> String {
+    format!("{value:?}").to_lowercase()
+}
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -30,6 +30,7 @@
 }
 
 fn parse(mut args: Arguments) -> Result<Args> {
+    util::check_options(&args, &["--requests", "--seed"])?;
     let requests = util::optional(&mut args, "--requests")?;
     let seed = util::optional(&mut args, "--seed")?.unwrap_or(1);
     util::finish(args, &["--requests", "--seed"])?;
--- a/src/cmd/fake.rs
+++ b/src/cmd/fake.rs
@@ -39,6 +39,7 @@
 
 fn parse(mut args: Arguments) -> Result<Args> {
     let kind = args.subcommand().ok().flatten();
+    util::check_options(&args, &["--listen", "--service", "--node", "--slots"])?;
     let listen: Option<SocketAddr> = util::optional(&mut args, "--listen")?;
     let listen = listen.unwrap_or_else(|| ([127, 0, 0, 1], 0).into());
     match kind.as_deref() {
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -3,7 +3,7 @@
 use pico_args::Arguments;
 
 use super::{check, demo, fake, node, publish, status};
-use crate::util::{Result, print_out};
+use crate::util::{self, Result, print_out};
 
 pub(crate) const USAGE: &str = "\
 Configuration distribution for a service mesh, and the node that acts on it.
@@ -29,10 +29,9 @@
 ";
 
 pub(crate) fn run(mut args: Arguments) -> Result<()> {
-    match args.subcommand() {
-        Ok(Some(name)) => show(&name),
-        _ => print_out(USAGE),
-    }
+    let name = args.subcommand().ok().flatten();
+    util::finish(args, &[])?;
+    show(name.as_deref().unwrap_or("help"))
 }
 
 /// Prints the usage text of a command.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,7 +2,7 @@
 
 use pico_args::Arguments;
 
-use crate::util::{CliError, Result, nearest};
+use crate::util::{self, CliError, Result, nearest};
 
 pub(crate) mod check;
 pub(crate) mod demo;
@@ -31,6 +31,13 @@
     }
 }
 
+/// Handles a command line that names no command.
+pub(crate) fn without_command(mut args: Arguments) -> Result<()> {
+    let _ = args.contains(["-h", "--help"]);
+    util::finish(args, &["--help"])?;
+    util::print_out(help::USAGE)
+}
+
 fn unknown(name: &str) -> CliError {
     let hint = nearest(name, &NAMES).map_or(String::new(), |n| format!("; did you mean '{n}'?"));
     CliError::Usage {
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -27,6 +27,7 @@
 }
 
 fn parse(mut args: Arguments) -> Result<Args> {
+    util::check_options(&args, &["--settings"])?;
     let settings = util::required(&mut args, "--settings")?;
     util::finish(args, &["--settings"])?;
     Ok(Args { settings })
@@ -35,7 +36,11 @@
 pub(crate) fn run(args: Arguments) -> Result<()> {
     let args = parse(args)?;
     let text = util::read_file(&args.settings)?;
-    let settings = Settings::try_from(text.as_str()).context(SettingsSnafu)?;
+    let file = &args.settings;
+    let settings = Settings::try_from(text.as_str()).context(SettingsSnafu { file })?;
+    settings
+        .check_instance(&text)
+        .context(SettingsSnafu { file })?;
     ops::init_logs(settings.log_format);
     util::runtime()?.block_on(serve(settings))
 }
--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -2,14 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-use config::{Fold, Outcome, Publication, PublicationId, Record, Snapshot};
+use config::{Fold, Outcome, Publication, PublicationId, Record};
+use node::StateReport;
 use pico_args::Arguments;
 use plat::{HttpLog, Log};
-use snafu::ResultExt;
 use wire::{Code, Version};
 
 use crate::cmd::status;
-use crate::util::{self, CliError, RejectedSnafu, Result, print_out};
+use crate::util::{self, CliError, Result, print_out};
 
 pub(crate) const USAGE: &str = "\
 Publish a new version of the configuration text.
@@ -40,13 +40,15 @@
 }
 
 fn parse(mut args: Arguments) -> Result<Args> {
+    util::check_options(&args, &OPTIONS)?;
     let log = util::required(&mut args, "--log")?;
     let base = util::optional(&mut args, "--base")?;
     let wait = util::optional(&mut args, "--wait")?.unwrap_or(9.0);
     let operator = util::optional(&mut args, "--operator")?;
     let mut free = util::free(args, &OPTIONS, 1)?.into_iter();
     let file = free.next().ok_or_else(|| util::usage("a FILE is needed"))?;
-    let wait = Duration::try_from_secs_f64(wait).map_err(|e| util::usage(&e.to_string()))?;
+    let wait =
+        Duration::try_from_secs_f64(wait).map_err(|e| util::usage(&format!("--wait: {e}")))?;
     Ok(Args {
         file,
         log,
@@ -59,19 +61,21 @@
 pub(crate) fn run(args: Arguments) -> Result<()> {
     let args = parse(args)?;
     let text = util::read_file(&args.file)?;
-    let mesh = util::mesh_of(&text)?;
-    Snapshot::compile(Version(1), &mesh, text.as_str())
-        .context(RejectedSnafu { file: &args.file })?;
-    util::runtime()?.block_on(publish(&args, &mesh, text))
+    let snapshot = util::compile(&args.file, &text)?;
+    util::runtime()?.block_on(publish(&args, snapshot.mesh(), text))
 }
 
 async fn publish(args: &Args, mesh: &str, text: String) -> Result<()> {
-    let log = HttpLog::new(&args.log).map_err(util::unreachable)?;
+    util::page_url("--log", &args.log, "/")?;
+    if let Some(url) = &args.operator {
+        util::page_url("--operator", url, "/")?;
+    }
+    let log = HttpLog::new(&args.log).map_err(util::failed)?;
     let until = Instant::now() + args.wait;
     let mut fold = Fold::new(mesh);
     node::fold_to_end(&log, &mut fold)
         .await
-        .map_err(util::unreachable)?;
+        .map_err(|e| util::unreachable(format!("log {}: {e}; nothing was published", args.log)))?;
     let base = args.base.map_or(fold.snapshot().version(), Version);
     let id = PublicationId::from_random(rand::random());
     let record = Record::Publication(Publication { id, base, text });
@@ -150,11 +154,18 @@
             print_out(&format!("in force on {have} of {members} nodes\n"))?;
             return match have == members {
                 true => Ok(()),
-                false => Err(CliError::Unreachable {
-                    reason: "time is up".to_owned(),
-                }),
+                false => Err(util::failed(late(&state, version))),
             };
         }
         tokio::time::sleep(POLL).await;
     }
 }
+
+fn late(state: &StateReport, version: Version) -> String {
+    let late = state.members.iter().filter(|m| m.version < version.0);
+    let names: Vec<&str> = late.map(|m| m.name.as_str()).collect();
+    format!(
+        "time is up, version {version} is not in force on {}",
+        names.join(", ")
+    )
+}
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -5,7 +5,7 @@
 use node::StateReport;
 use pico_args::Arguments;
 
-use crate::util::{self, Result, print_out};
+use crate::util::{self, CliError, Result, print_out};
 
 pub(crate) const USAGE: &str = "\
 Show what a node knows of the mesh.
@@ -25,6 +25,7 @@
 }
 
 fn parse(mut args: Arguments) -> Result<Args> {
+    util::check_options(&args, &["--operator", "--json"])?;
     let json = args.contains("--json");
     let operator = util::required(&mut args, "--operator")?;
     util::finish(args, &["--operator", "--json"])?;
@@ -43,16 +44,40 @@
 
 /// Fetches the state page of a node.
 pub(crate) async fn fetch(operator: &str) -> Result<StateReport> {
-    let client = util::http_client()?;
-    let url = format!("{}/state", operator.trim_end_matches('/'));
-    let res = client.get(url).send().await.map_err(util::unreachable)?;
-    res.json().await.map_err(util::unreachable)
+    let url = util::page_url("--operator", operator, "/state")?;
+    let res = util::http_client()?.get(url).send().await;
+    let res = res.and_then(reqwest::Response::error_for_status);
+    let res = res.map_err(|e| not_reached(operator, &e))?;
+    res.json().await.map_err(|e| not_reached(operator, &e))
+}
+
+fn not_reached(operator: &str, e: &reqwest::Error) -> CliError {
+    let cause = match (e.status(), e.is_timeout()) {
+        (Some(status), _) => format!("answers {status}, so it is no operator listener"),
+        (None, true) => "no answer in time".to_owned(),
+        (None, false) if e.is_decode() => "answers no state page".to_owned(),
+        (None, false) => "no connection".to_owned(),
+    };
+    util::unreachable(format!("node {operator}: {cause}"))
 }
 
 fn table(s: &StateReport) -> String {
     let mut out = format!(
-        "{} service={} domain={} ready={} version={} digest={}\n",
-        s.name, s.service, s.domain, s.ready, s.version, s.digest
+        "{} service={} domain={} ready={} version={} digest={}\n\
+         draining={} target={} floor={} newest_heard={} log=\"{}\" log_reader={} load={}\n",
+        s.name,
+        s.service,
+        s.domain,
+        s.ready,
+        s.version,
+        s.digest,
+        s.draining,
+        s.target,
+        s.floor,
+        s.newest_heard,
+        s.log,
+        s.log_reader,
+        s.load,
     );
     let mut domains: BTreeMap<&str, BTreeMap<u64, usize>> = BTreeMap::new();
     for m in &s.members {
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod util;
 
+use std::io::Write;
 use std::process::ExitCode;
 
 use util::CliError;
@@ -12,10 +13,7 @@
     let mut args = pico_args::Arguments::from_env();
     let result = match args.subcommand() {
         Ok(Some(name)) => cmd::dispatch(&name, args),
-        Ok(None) => {
-            print!("{}", cmd::help::USAGE);
-            return ExitCode::SUCCESS;
-        }
+        Ok(None) => cmd::without_command(args),
         Err(e) => Err(CliError::Usage {
             reason: e.to_string(),
         }),
@@ -23,7 +21,8 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("briarlug: {e}");
+            // Standard error may be closed, and `eprintln!` would panic then.
+            let _ = writeln!(std::io::stderr(), "briarlug: {e}");
             ExitCode::from(e.exit_code())
         }
     }
--- a/src/util.rs
+++ b/src/util.rs
@@ -6,12 +6,13 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use config::Rejection;
+use config::{Rejection, Snapshot};
 use node::SettingsError;
 use pico_args::Arguments;
+use reqwest::Url;
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
-use wire::Code;
+use wire::{Code, Version};
 
 const HTTP_TIMEOUT: Duration = Duration::from_secs(3);
 /// Options further apart than this aren't offered as a correction.
@@ -35,8 +36,8 @@
     },
     #[snafu(display("{file}: {source}"))]
     Rejected { file: String, source: Rejection },
-    #[snafu(display("{source}"))]
-    Settings { source: SettingsError },
+    #[snafu(display("{file}: {source}"))]
+    Settings { file: String, source: SettingsError },
     #[snafu(display("rejected, {code}: {what}"))]
     Refused { code: Code, what: String },
     #[snafu(display("{reason}"))]
@@ -80,24 +81,25 @@
     std::fs::read_to_string(file).context(ReadFileSnafu { file })
 }
 
-/// Reads the mesh name of a text, which the log's other publications have to share.
-pub(crate) fn mesh_of(text: &str) -> Result<String> {
+/// Compiles a text for the mesh that it names. The log's other publications have to share the name.
+pub(crate) fn compile(file: &str, text: &str) -> Result<Snapshot> {
     #[derive(Deserialize)]
     struct Head {
         mesh: String,
     }
-    match toml::from_str(text) {
-        Ok(Head { mesh }) => Ok(mesh),
-        Err(e) => {
-            let line = e
-                .span()
-                .map_or(1, |s| 1 + text[..s.start].matches('\n').count());
-            let what = format!("line {line}: {}", e.message());
-            Err(CliError::Refused {
-                code: Code::TextUnreadable,
-                what,
-            })
-        }
+    // A text whose mesh can't be read is refused by the compiler, with the place of the fault.
+    let mesh = toml::from_str(text).map_or(String::new(), |h: Head| h.mesh);
+    Snapshot::compile(Version(1), &mesh, text).context(RejectedSnafu { file })
+}
+
+/// Returns the URL of the page `path` below `base`, which an option gave.
+pub(crate) fn page_url(option: &str, base: &str, path: &str) -> Result<Url> {
+    let url = Url::parse(&format!("{}{path}", base.trim_end_matches('/')));
+    match url {
+        Ok(url) if url.scheme() == "http" && url.has_host() => Ok(url),
+        _ => Err(usage(&format!(
+            "{option}: '{base}' is not an http:// URL with a host"
+        ))),
     }
 }
 
@@ -106,7 +108,7 @@
     T: FromStr,
     T::Err: Display,
 {
-    args.value_from_str(name).map_err(|e| usage(&e.to_string()))
+    args.value_from_str(name).map_err(|e| bad_option(name, &e))
 }
 
 pub(crate) fn optional<T>(args: &mut Arguments, name: &'static str) -> Result<Option<T>>
@@ -115,7 +117,36 @@
     T::Err: Display,
 {
     args.opt_value_from_str(name)
-        .map_err(|e| usage(&e.to_string()))
+        .map_err(|e| bad_option(name, &e))
+}
+
+fn bad_option(name: &str, e: &pico_args::Error) -> CliError {
+    use pico_args::Error::{ArgumentParsingFailed, Utf8ArgumentParsingFailed};
+    match e {
+        Utf8ArgumentParsingFailed { value, cause } => usage(&format!("{name}: '{value}': {cause}")),
+        ArgumentParsingFailed { cause } => usage(&format!("{name}: {cause}")),
+        e => usage(&e.to_string()),
+    }
+}
+
+/// Refuses unknown options. Called before options are taken, so that a misspelt one isn't reported
+/// as missing.
+pub(crate) fn check_options(args: &Arguments, known: &[&str]) -> Result<()> {
+    let rest = args.clone().finish();
+    let unknown = rest
+        .iter()
+        .map(lossy)
+        .find(|a| a.starts_with("--") && !known.contains(&a.as_str()));
+    unknown.map_or(Ok(()), |option| Err(unknown_option(&option, known)))
+}
+
+fn unknown_option(option: &str, known: &[&str]) -> CliError {
+    let hint = nearest(option, known).map_or(String::new(), |n| format!("; did you mean '{n}'?"));
+    usage(&format!("unknown option '{option}'{hint}"))
+}
+
+fn lossy(arg: &OsString) -> String {
+    arg.to_string_lossy().into_owned()
 }
 
 /// Refuses leftover arguments.
@@ -125,20 +156,17 @@
 
 /// Returns up to `most` free arguments and refuses unknown options.
 pub(crate) fn free(args: Arguments, known: &[&str], most: usize) -> Result<Vec<String>> {
-    let rest = args.finish();
-    let text = |a: &OsString| a.to_string_lossy().into_owned();
-    if let Some(option) = rest.iter().map(text).find(|a| a.starts_with('-')) {
-        let hint = nearest(&option, known);
-        let hint = hint.map_or(String::new(), |n| format!("; did you mean '{n}'?"));
-        return Err(usage(&format!("unknown option '{option}'{hint}")));
+    let rest: Vec<String> = args.finish().iter().map(lossy).collect();
+    if let Some(option) = rest.iter().find(|a| a.starts_with('-')) {
+        return Err(match known.contains(&option.as_str()) {
+            true => usage(&format!("the '{option}' option is given twice")),
+            false => unknown_option(option, known),
+        });
     }
-    if rest.len() > most {
-        return Err(usage(&format!(
-            "unexpected argument '{}'",
-            text(&rest[most])
-        )));
+    if let Some(extra) = rest.get(most) {
+        return Err(usage(&format!("unexpected argument '{extra}'")));
     }
-    Ok(rest.iter().map(text).collect())
+    Ok(rest)
 }
 
 /// Returns the known word that is most like `word`.
--- /dev/null
+++ b/tests/status.rs
@@ -0,0 +1,71 @@
+//! `briarlug status`
+
+mod common;
+
+use common::{Mesh, Workdir, registry, stderr, stdout};
+use googletest::prelude::*;
+use node::StateReport;
+
+/// Guards against a table or a page that leaves out members, versions or domains.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_table_and_the_page_show_the_mesh() {
+    let mesh = Mesh::start("status", &registry()[..5]);
+    mesh.publish_first().await;
+    let known = |s: &StateReport| s.members.iter().all(|m| m.version == 1);
+    mesh.wait_state(2, "version 1 of all members", known).await;
+    let operator = mesh.nodes[2].operator();
+    let status = |args: &[&str]| {
+        let mut cmd = mesh.wrk.command("status");
+        cmd.args(["--operator", &operator])
+            .args(args)
+            .output()
+            .unwrap()
+    };
+
+    let out = status(&[]);
+    assert_that!(out.status.code(), some(eq(0)), "{}", stderr(&out));
+    let table = stdout(&out);
+    let line = "ledger-view-2 service=ledger-view domain=pk-north-c ready=true version=1 digest=";
+    assert_that!(table, starts_with(line));
+    assert_that!(
+        table,
+        contains_substring("\ndraining=false target=up floor=")
+    );
+    for (domain, nodes) in [("pk-north-a", 3), ("pk-north-b", 1), ("pk-north-c", 1)] {
+        let row = format!("\n{domain:<24} {:>7} {nodes:>6}\n", 1);
+        assert_that!(table, contains_substring(row), "{table}");
+    }
+    for node in &mesh.nodes {
+        let (name, service) = (&node.spec.name, node.spec.service);
+        let row = format!("\n{name:<24} {service:<16} {:<9} {:>7}", "ready", 1);
+        assert_that!(table, contains_substring(row), "{table}");
+    }
+
+    let page: StateReport = serde_json::from_slice(&status(&["--json"]).stdout).unwrap();
+    assert_that!(page.name.as_str(), eq("ledger-view-2"));
+    assert_that!(page.members.len(), eq(5));
+    assert_that!(page.metrics["config.version"], eq(1));
+}
+
+/// Guards against an error without the address, or with another exit code.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_is_not_reached_exits_with_3() {
+    let wrk = Workdir::new("status-away");
+    let status = |url: &str| {
+        wrk.command("status")
+            .args(["--operator", url])
+            .output()
+            .unwrap()
+    };
+    let (_log, log) = common::Proc::spawn_listening(wrk.command("fake").arg("log"));
+    let other = format!("http://{log}");
+    for (url, cause) in [
+        ("http://127.0.0.1:1", "no connection"),
+        (&other, "answers 404"),
+    ] {
+        let out = status(url);
+        assert_that!(out.status.code(), some(eq(3)));
+        let wanted = format!("briarlug: node {url}: {cause}");
+        assert_that!(stderr(&out), starts_with(wanted));
+    }
+}
