--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -10,7 +10,7 @@
 use ops::Metric;
 use serde::{Deserialize, Serialize};
 use spread::{LogState, Status};
-use wire::Load;
+use wire::{InstanceId, Load};
 
 use crate::control::GetStatus;
 use crate::shared::Shared;
@@ -93,13 +93,8 @@
 pub(crate) async fn report(shared: &Shared) -> StateReport {
     let now = shared.clock.now();
     let snapshot = shared.snapshot();
-    let ejected: BTreeSet<_> = shared
-        .services
-        .all()
-        .values()
-        .flat_map(|s| s.ejected())
-        .collect();
-    shared.metrics.set(Metric::Ejected, ejected.len() as u64);
+    let spread = spread_status(shared).await;
+    let ejected = refresh_metrics(shared, &spread);
     let phase = match shared.target.phase(now) {
         Phase::Up => "up",
         Phase::Draining => "draining",
@@ -115,7 +110,6 @@
     };
     let mut members: Vec<_> = shared.all_members().await.iter().map(member).collect();
     members.sort_by(|a, b| (&a.service, &a.name).cmp(&(&b.service, &b.name)));
-    let spread = spread_status(shared).await;
     let log = match spread.log {
         LogState::Unknown => "unknown",
         LogState::Reading => "reading",
@@ -150,6 +144,17 @@
     }
 }
 
+/// Sets the metrics that are derived from other state, and returns the ejected instances.
+fn refresh_metrics(shared: &Shared, spread: &Status) -> BTreeSet<InstanceId> {
+    let services = shared.services.all();
+    let ejected: BTreeSet<_> = services.values().flat_map(|s| s.ejected()).collect();
+    shared.metrics.set(Metric::Ejected, ejected.len() as u64);
+    shared
+        .metrics
+        .set(Metric::VersionConflicts, spread.conflicts);
+    ejected
+}
+
 async fn spread_status(shared: &Shared) -> Status {
     match shared.links.get() {
         Some(links) => links
--- /dev/null
+++ b/tests/metrics.rs
@@ -0,0 +1,147 @@
+//! Metrics and log lines of a running node.
+
+mod common;
+
+use std::fs::File;
+use std::net::UdpSocket;
+use std::time::{Duration, Instant};
+
+use common::{Mesh, Proc, spec};
+use googletest::prelude::*;
+
+/// Guards against an export that is late, or that lacks what the node did.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_sends_its_metrics_each_second() {
+    let server = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let settings = format!("[metrics]\nstatsd = \"{}\"\n", server.local_addr().unwrap());
+    let specs = [
+        spec("ledger-view", 0, "pk-north-a"),
+        spec("gauge-vault", 0, "pk-north-a"),
+    ];
+    // Only the second node sends.
+    let mut mesh = Mesh::start("metrics", &specs);
+    mesh.kill_node(1);
+    add_settings(&mesh, 1, &settings);
+    mesh.start_node(1);
+    mesh.publish_first().await;
+    let url = mesh.nodes[1].url("/casks/1");
+    for _ in 0..5 {
+        let res = mesh.client.get(&url).send().await.unwrap();
+        let code = res.headers().get(wire::CODE).cloned();
+        assert_that!(res.status().as_u16(), eq(200), "{code:?}");
+    }
+
+    let receive = move || {
+        server
+            .set_read_timeout(Some(Duration::from_secs(3)))
+            .unwrap();
+        let (mut requests, mut versions) = (0, Vec::new());
+        let mut buf = [0; 2048];
+        let until = Instant::now() + Duration::from_millis(4_500);
+        while Instant::now() < until {
+            let n = server.recv(&mut buf).unwrap();
+            for line in std::str::from_utf8(&buf[..n]).unwrap().lines() {
+                if let Some(n) = line.strip_prefix("briarlug.request.entry:") {
+                    requests += n.strip_suffix("|c").unwrap().parse::<u64>().unwrap();
+                }
+                if line.starts_with("briarlug.config.version:") {
+                    versions.push((Instant::now(), line.to_owned()));
+                }
+            }
+        }
+        (requests, versions)
+    };
+    let (requests, versions) = tokio::task::spawn_blocking(receive).await.unwrap();
+    assert_that!(requests, eq(5));
+    assert_that!(
+        versions.last().unwrap().1,
+        eq("briarlug.config.version:1|g")
+    );
+    // Before the receiver started, flushes waited in its socket; those after it come one by one.
+    let gaps: Vec<Duration> = versions.windows(2).map(|w| w[1].0 - w[0].0).collect();
+    let slow = gaps
+        .iter()
+        .filter(|g| **g > Duration::from_millis(500))
+        .count();
+    assert_that!(slow, all!(ge(3), le(5)), "{gaps:?}");
+}
+
+fn add_settings(mesh: &Mesh, i: usize, more: &str) {
+    let cmd = mesh.wrk.command("node");
+    let name = format!("{}.toml", mesh.nodes[i].spec.name);
+    let old = std::fs::read_to_string(cmd.get_current_dir().unwrap().join(&name)).unwrap();
+    mesh.wrk.create(&name, &format!("{old}\n{more}"));
+}
+
+/// Starts the node again with its log lines in a file.
+fn restart_with_log(mesh: &mut Mesh, i: usize, level: &str) {
+    mesh.kill_node(i);
+    let name = mesh.nodes[i].spec.name.clone();
+    let lines = mesh.wrk.create(&format!("{name}.log"), "");
+    let mut cmd = mesh.wrk.command("node");
+    cmd.args(["--settings", &format!("{name}.toml")]);
+    cmd.env("RUST_LOG", level)
+        .stderr(File::create(lines).unwrap());
+    mesh.nodes[i].proc = Some(Proc::spawn(&mut cmd));
+}
+
+fn log_of(mesh: &Mesh, i: usize) -> String {
+    let cmd = mesh.wrk.command("node");
+    let dir = cmd.get_current_dir().unwrap();
+    std::fs::read_to_string(dir.join(format!("{}.log", mesh.nodes[i].spec.name))).unwrap()
+}
+
+/// Guards against lines for each request, and against bodies, keys and credentials in the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_leave_no_lines_and_no_secrets_in_the_log() {
+    let specs = [
+        spec("title-desk", 0, "pk-north-a"),
+        spec("ledger-view", 0, "pk-north-b"),
+    ];
+    let mut mesh = Mesh::start("metrics-log", &specs);
+    mesh.publish_first().await;
+    restart_with_log(&mut mesh, 0, "trace");
+    restart_with_log(&mut mesh, 1, "info");
+    mesh.wait_version(1).await;
+    mesh.wait_targets().await;
+    let lines_before = log_of(&mesh, 1).lines().count();
+
+    for n in 0..50 {
+        // A transfer, a look-up, and refusals for an unknown path and a missing key.
+        let calls = [
+            ("POST", "/titles", true),
+            ("GET", "/casks", true),
+            ("GET", "/none", true),
+            ("POST", "/titles", false),
+        ];
+        for (method, path, key) in calls {
+            let url = mesh.nodes[1].url(&format!("{path}/{n}?password=secret-query"));
+            let mut req = mesh.client.request(method.parse().unwrap(), url);
+            req = req
+                .header("authorization", "Bearer secret-token")
+                .header("cookie", "secret-cookie");
+            if key {
+                req = req.header("idempotency-key", format!("secret-key-{n}"));
+            }
+            req.body("secret-body").send().await.unwrap();
+        }
+    }
+    let quiet = log_of(&mesh, 1);
+    assert_that!(quiet.lines().count(), eq(lines_before), "{quiet}");
+    assert_that!(
+        quiet,
+        contains_substring("config in force version=1 digest=")
+    );
+    for i in 0..2 {
+        let lines = log_of(&mesh, i);
+        assert_that!(lines, contains_substring("node ready=true version=1"));
+        for secret in ["secret", "not-a-secret-for-tests"] {
+            let found: Vec<&str> = lines
+                .lines()
+                .filter(|l| l.contains(secret))
+                .take(3)
+                .collect();
+            assert_that!(found, is_empty());
+        }
+    }
+}
--- a/tests/status.rs
+++ b/tests/status.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::{Duration, Instant};
+
 use common::{Mesh, Workdir, registry, stderr, stdout};
 use googletest::prelude::*;
 use node::StateReport;
@@ -69,3 +71,25 @@
         assert_that!(stderr(&out), starts_with(wanted));
     }
 }
+
+/// Guards against a node that never finds its own target while no other member changes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_alone_in_its_mesh_serves() {
+    let mesh = Mesh::start("status-alone", &registry()[..1]);
+    mesh.publish_first().await;
+    let until = Instant::now() + Duration::from_secs(5);
+    loop {
+        let res = mesh
+            .client
+            .get(mesh.nodes[0].url("/casks/1"))
+            .send()
+            .await
+            .unwrap();
+        let code = res.headers().get(wire::CODE).cloned();
+        if res.status().is_success() {
+            return;
+        }
+        assert!(Instant::now() < until, "refused with {code:?} for 5 s");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
