Don't publish on a base that can't be known

Cause: `publish` of a build that can't read the log to its end, because of a newer record format, appended the text all the same and ended with "may still be accepted". The same held for a log whose first records have expired without a checkpoint, where the base would have been version 0.

Changed: both are refused before the append, with exit code 1 and 3. Tests append a record of an unknown format, and let records expire.

--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -76,6 +76,19 @@
     node::fold_to_end(&log, &mut fold)
         .await
         .map_err(|e| util::unreachable(format!("log {}: {e}; nothing was published", args.log)))?;
+    if let Some(format) = fold.behind() {
+        let reason = format!(
+            "the log has records of format {format}, which this build doesn't know; nothing was \
+             published"
+        );
+        return Err(util::failed(reason));
+    }
+    if fold.needs_checkpoint() {
+        return Err(util::unreachable(format!(
+            "log {}: records have expired and no checkpoint is there yet; nothing was published",
+            args.log
+        )));
+    }
     let base = args.base.map_or(fold.snapshot().version(), Version);
     let id = PublicationId::from_random(rand::random());
     let record = Record::Publication(Publication { id, base, text });
--- a/tests/publish.rs
+++ b/tests/publish.rs
@@ -2,13 +2,17 @@
 
 mod common;
 
+use std::time::Duration;
+
 use axum::routing::get;
 use axum::{Json, Router};
 use common::{Mesh, Proc, TEXT, Workdir, registry, stderr, stdout};
 use fakes::LogFaults;
 use googletest::prelude::*;
+use plat::{HttpLog, Log};
 use serde_json::json;
 use tokio::net::TcpListener;
+use wire::Offset;
 
 fn second() -> String {
     TEXT.replace("queue = 64", "queue = 48")
@@ -187,3 +191,44 @@
     let reason = "briarlug: time is up, version 1 is not in force on a-1\n";
     assert_that!(stderr(&out), eq(reason));
 }
+
+/// Guards against a publication on a base that this build can't know, because it can't read the
+/// records before it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_with_unknown_records_is_not_appended_to() {
+    let site = Site::new("publish-behind");
+    let log = HttpLog::new(&site.log_url).unwrap();
+    log.append(node::CONFIG_STREAM, vec![vec![u8::MAX]])
+        .await
+        .unwrap();
+    let out = site.publish(TEXT, &[]);
+    assert_that!(out.status.code(), some(eq(1)));
+    assert_that!(
+        stderr(&out),
+        contains_substring("records of format 255, which this build")
+    );
+    let batch = log
+        .read(node::CONFIG_STREAM, Offset(0), Duration::ZERO)
+        .await;
+    assert_that!(batch.unwrap().end, eq(Offset(1)));
+}
+
+/// Guards against a publication on version 0 when the records that tell the version have expired.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_without_its_first_records_is_not_appended_to() {
+    let site = Site::new("publish-expired");
+    for text in [TEXT, &second(), TEXT] {
+        assert_that!(site.publish(text, &[]).status.code(), some(eq(0)));
+    }
+    let faults = LogFaults {
+        retain: 1,
+        ..LogFaults::default()
+    };
+    set_faults(&site.log_url, &faults).await;
+    let out = site.publish(TEXT, &[]);
+    assert_that!(out.status.code(), some(eq(3)));
+    assert_that!(
+        stderr(&out),
+        contains_substring("no checkpoint is there yet")
+    );
+}
