Show unreachable members in the status

Cause: with a failure domain paused, /state and `status` still listed its members as ready; only a log line and `member.live` told of it.

Changed: each member of the page has `reachable`, and the table has a note `unreachable` or `ejected`. A page of an older build counts as reachable.

--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -66,10 +66,18 @@
     pub state: String,
     /// Last version heard from it.
     pub version: u64,
+    /// Whether its failure domain can be reached from this node.
+    #[serde(default = "reachable")]
+    pub reachable: bool,
     /// Whether this node has ejected it for being slow or failing.
     pub ejected: bool,
 }
 
+// The page of a node of an older build has no such field.
+fn reachable() -> bool {
+    true
+}
+
 /// Routes of the operators' listener.
 pub(crate) fn router(shared: Arc<Shared>) -> Router {
     Router::new()
@@ -100,12 +108,14 @@
         Phase::Draining => "draining",
         Phase::Down => "down",
     };
+    let in_view = shared.members.load();
     let member = |r: &member::Record| MemberReport {
         name: r.name.to_string(),
         service: r.service.to_string(),
         domain: r.domain.to_string(),
         state: format!("{:?}", r.state).to_lowercase(),
         version: r.version.0,
+        reachable: r.id == shared.id || in_view.contains_key(&r.id),
         ejected: ejected.contains(&r.id),
     };
     let mut members: Vec<_> = shared.all_members().await.iter().map(member).collect();
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use node::StateReport;
+use node::{MemberReport, StateReport};
 use pico_args::Arguments;
 
 use crate::util::{self, CliError, Result, print_out};
@@ -93,12 +93,15 @@
             out.push_str(&format!("{domain:<24} {version:>7} {nodes:>6}\n"));
         }
     }
-    out.push_str("\nmember                   service          state     version ejected\n");
+    out.push_str("\nmember                   service          state     version note\n");
     for m in &s.members {
-        let ejected = if m.ejected { "yes" } else { "" };
         out.push_str(&format!(
-            "{:<24} {:<16} {:<9} {:>7} {ejected}\n",
-            m.name, m.service, m.state, m.version
+            "{:<24} {:<16} {:<9} {:>7} {}\n",
+            m.name,
+            m.service,
+            m.state,
+            m.version,
+            note(m)
         ));
     }
     if !s.quarantined.is_empty() {
@@ -106,3 +109,11 @@
     }
     out
 }
+
+fn note(m: &MemberReport) -> &'static str {
+    match (m.reachable, m.ejected) {
+        (false, _) => "unreachable",
+        (true, true) => "ejected",
+        (true, false) => "",
+    }
+}
