--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -10,7 +10,7 @@
 use ops::Metric;
 use serde::{Deserialize, Serialize};
 use spread::{LogState, Status};
-use wire::Load;
+use wire::{InstanceId, Load};
 
 use crate::control::GetStatus;
 use crate::shared::Shared;
@@ -45,7 +45,7 @@
     pub target: String,
     /// Load of the target.
     pub load: Load,
-    /// Members in scope.
+    /// Members in scope, in order of service and name.
     pub members: Vec<MemberReport>,
     /// Fingerprints of quarantined requests.
     pub quarantined: Vec<String>,
@@ -66,10 +66,18 @@
     pub state: String,
     /// Last version heard from it.
     pub version: u64,
+    /// Whether its failure domain can be reached from this node.
+    #[serde(default = "reachable")]
+    pub reachable: bool,
     /// Whether this node has ejected it for being slow or failing.
     pub ejected: bool,
 }
 
+// The page of a node of an older build has no such field.
+fn reachable() -> bool {
+    true
+}
+
 /// Routes of the operators' listener.
 pub(crate) fn router(shared: Arc<Shared>) -> Router {
     Router::new()
@@ -92,27 +100,25 @@
 
 pub(crate) async fn report(shared: &Shared) -> StateReport {
     let now = shared.clock.now();
-    let ejected: BTreeSet<_> = shared
-        .services
-        .all()
-        .values()
-        .flat_map(|s| s.ejected())
-        .collect();
-    shared.metrics.set(Metric::Ejected, ejected.len() as u64);
+    let spread = spread_status(shared).await;
+    let ejected = refresh_metrics(shared, &spread);
     let phase = match shared.target.phase(now) {
         Phase::Up => "up",
         Phase::Draining => "draining",
         Phase::Down => "down",
     };
+    let in_view = shared.members.load();
     let member = |r: &member::Record| MemberReport {
         name: r.name.to_string(),
         service: r.service.to_string(),
         domain: r.domain.to_string(),
         state: format!("{:?}", r.state).to_lowercase(),
         version: r.version.0,
+        reachable: r.id == shared.id || in_view.contains_key(&r.id),
         ejected: ejected.contains(&r.id),
     };
-    let spread = spread_status(shared).await;
+    let mut members: Vec<_> = shared.all_members().await.iter().map(member).collect();
+    members.sort_by(|a, b| (&a.service, &a.name).cmp(&(&b.service, &b.name)));
     let log = match spread.log {
         LogState::Unknown => "unknown",
         LogState::Reading => "reading",
@@ -120,7 +126,6 @@
         LogState::Down => "down",
         LogState::Behind(_) => "behind",
     };
-    let members = shared.all_members().await;
     // A node that gets ready meanwhile must not be shown as ready with the version before.
     let ready = shared.is_ready();
     let snapshot = shared.snapshot();
@@ -138,7 +143,7 @@
         log_reader: spread.reader,
         target: phase.to_owned(),
         load: shared.gate.load(),
-        members: members.iter().map(member).collect(),
+        members,
         quarantined: shared
             .quarantined()
             .iter()
@@ -151,6 +156,17 @@
     }
 }
 
+/// Sets the metrics that are derived from other state, and returns the ejected instances.
+fn refresh_metrics(shared: &Shared, spread: &Status) -> BTreeSet<InstanceId> {
+    let services = shared.services.all();
+    let ejected: BTreeSet<_> = services.values().flat_map(|s| s.ejected()).collect();
+    shared.metrics.set(Metric::Ejected, ejected.len() as u64);
+    shared
+        .metrics
+        .set(Metric::VersionConflicts, spread.conflicts);
+    ejected
+}
+
 async fn spread_status(shared: &Shared) -> Status {
     match shared.links.get() {
         Some(links) => links
