Publish the own state to the own pickers

Change: the view follows each change of the own state. Also: versions told by announcements count for floors at once, a table exchange uses the scope of the asking node, instances that begin to take work are marked fresh for the slow start, and the derived metrics are refreshed with each flush instead of only when /state is read.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -119,7 +119,10 @@
         let snapshot = match compiled {
             Ok(snapshot) => Arc::new(snapshot),
             Err(rejection) => {
-                log::error!("version {} not applied: {rejection}", text.version);
+                log::error!(
+                    "config not applied version={} reason={rejection:?}",
+                    text.version
+                );
                 return Event::ApplyFailed(text.version);
             }
         };
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -1,7 +1,9 @@
 //! The actor round [`Member`]: datagrams in and out, the view, rumours.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use kameo::Actor;
 use kameo::actor::ActorRef;
@@ -14,7 +16,7 @@
 use spread::Origin;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
-use wire::{Code, InstanceId, KeyRing, MAX_DATAGRAM_BYTES, SealError, Time};
+use wire::{Code, Incarnation, InstanceId, KeyRing, MAX_DATAGRAM_BYTES, SealError, Time, Version};
 
 use crate::control::{Heard, PeersChanged};
 use crate::datagram::Datagram;
@@ -23,6 +25,11 @@
 use crate::settings::{Faults, Settings};
 use crate::shared::Shared;
 
+/// An instance that began to take work more recently gets its share step by step.
+const FRESH: Duration = Duration::from_secs(5);
+/// Within this time after the own start, instances are met and not new.
+const SETTLING: Duration = Duration::from_secs(5);
+
 /// Seals, counts and sends datagrams.
 #[derive(Clone, Debug)]
 pub(crate) struct Sender {
@@ -72,6 +79,8 @@
     member: Member,
     sender: Sender,
     wake: watch::Sender<Time>,
+    /// Life and time of the first sight of each instance that takes work.
+    ready_since: BTreeMap<InstanceId, (Incarnation, Option<Time>)>,
 }
 
 /// Arguments of [`Gossip`].
@@ -99,6 +108,7 @@
             member,
             sender,
             wake,
+            ready_since: BTreeMap::new(),
         };
         gossip.handle_event(Event::Tick).await;
         Ok(gossip)
@@ -143,14 +153,15 @@
     }
 
     /// Passes the reachable members on to the pickers and to the spread.
-    async fn publish_view(&self) {
+    async fn publish_view(&mut self) {
         let reachable = |r: &&Record| !self.member.is_domain_down(&r.domain);
         let others = self.member.records().filter(reachable);
-        let all = others
+        let all: BTreeMap<InstanceId, Record> = others
             .chain([self.member.own()])
             .cloned()
             .map(|r| (r.id, r))
             .collect();
+        self.note_fresh(&all);
         self.shared.members.store(Arc::new(all));
         self.shared.refresh_instances();
         if let Some(links) = self.shared.links.get() {
@@ -158,15 +169,41 @@
         }
     }
 
+    /// Notes which instances have begun to take work lately. What is ready when this node starts
+    /// may have been so for long.
+    fn note_fresh(&mut self, members: &BTreeMap<InstanceId, Record>) {
+        let now = self.shared.clock.now();
+        let takes_work = |r: &&Record| r.state == member::State::Ready;
+        let ready = members.values().filter(takes_work);
+        let lives: BTreeMap<_, _> = ready.map(|r| (r.id, r.incarnation)).collect();
+        let settled = now.since(Time::ZERO) < SETTLING;
+        let since = |id, life| match self.ready_since.get(&id) {
+            Some((known, since)) if *known == life => (life, *since),
+            _ if settled => (life, None),
+            _ => (life, Some(now)),
+        };
+        let ready_since: BTreeMap<_, _> = lives
+            .into_iter()
+            .map(|(id, life)| (id, since(id, life)))
+            .collect();
+        let is_fresh = |since: &Option<Time>| since.is_some_and(|t| now - t < FRESH);
+        let fresh = ready_since.iter().filter(|(_, (_, since))| is_fresh(since));
+        self.shared
+            .fresh
+            .store(Arc::new(fresh.map(|(id, _)| *id).collect()));
+        self.ready_since = ready_since;
+    }
+
     /// Exchanges tables with another member outside the actor.
     fn start_exchange(&self, with: InstanceId) {
         let Some(peer) = self.shared.members.load().get(&with).map(|r| r.rpc) else {
             return;
         };
-        let table = self.member.tables(self.member.scope());
+        let scope = self.member.scope().clone();
+        let table = self.member.tables(&scope);
         let shared = self.shared.clone();
         shared.clone().tasks.spawn(async move {
-            let Ok(theirs) = rpc::exchange(&shared, peer, table).await else {
+            let Ok(theirs) = rpc::exchange(&shared, peer, scope, table).await else {
                 return;
             };
             if let Some(links) = shared.links.get() {
@@ -202,8 +239,8 @@
 pub(crate) struct Merge(pub(crate) Table);
 /// Asks for the answer to an instance that joins.
 pub(crate) struct MakeJoinReply(pub(crate) InstanceId, pub(crate) Scope);
-/// Takes over a table and asks for the own one.
-pub(crate) struct Exchange(pub(crate) Table);
+/// Takes over a table and asks for the own one in the sender's scope.
+pub(crate) struct Exchange(pub(crate) Scope, pub(crate) Table);
 
 macro_rules! forward {
     ($msg:ty, $pattern:pat => $event:expr) => {
@@ -219,11 +256,31 @@
 
 forward!(Tick, _ => Event::Tick);
 forward!(Received, Received(from, msg) => Event::Received { from, msg });
-forward!(SetLocal, SetLocal(local) => Event::SetLocal(local));
 forward!(SetScope, SetScope(scope) => Event::Interest(scope));
 forward!(Joined, Joined(answer) => Event::JoinAnswer(answer));
 forward!(StartRumour, StartRumour(payload) => Event::Rumour { payload });
 
+impl Message<SetLocal> for Gossip {
+    type Reply = ();
+
+    async fn handle(&mut self, SetLocal(local): SetLocal, _: &mut Context<Self, ()>) {
+        self.handle_event(Event::SetLocal(local)).await;
+        // Membership reports changes of others only, but the own target is picked like any other.
+        self.publish_view().await;
+    }
+}
+
+/// A peer told its active version outside of a membership message.
+pub(crate) struct NoteVersion(pub(crate) InstanceId, pub(crate) Version);
+
+impl Message<NoteVersion> for Gossip {
+    type Reply = ();
+
+    async fn handle(&mut self, note: NoteVersion, _: &mut Context<Self, ()>) {
+        self.member.note_version(note.0, note.1);
+    }
+}
+
 impl Message<Merge> for Gossip {
     type Reply = ();
 
@@ -260,10 +317,10 @@
 
     async fn handle(
         &mut self,
-        Exchange(theirs): Exchange,
+        Exchange(scope, theirs): Exchange,
         _: &mut Context<Self, OwnTable>,
     ) -> OwnTable {
-        let ours = self.member.tables(self.member.scope());
+        let ours = self.member.tables(&scope);
         let actions = self.member.merge(self.shared.clock.now(), theirs);
         self.perform(actions).await;
         OwnTable(ours)
@@ -306,7 +363,7 @@
 }
 
 /// Returns a member as the pickers see it.
-pub(crate) fn instance(r: &Record) -> Instance {
+pub(crate) fn instance(r: &Record, fresh: bool) -> Instance {
     let state = match r.state {
         member::State::Ready => route::State::Ready,
         member::State::Starting => route::State::Starting,
@@ -317,7 +374,7 @@
         domain: r.domain.clone(),
         slots: r.slots,
         state,
-        fresh: false,
+        fresh,
     };
     Instance {
         service: r.service.clone(),
@@ -371,6 +428,9 @@
             let _ = links.gossip.tell(Received(from, msg)).try_send();
         }
         Datagram::Announce { from, active } => {
+            // The floor of the sender is known from here on, not only from its next probe.
+            let note = NoteVersion(from, active.version);
+            let _ = links.gossip.tell(note).try_send();
             let heard = Heard {
                 from,
                 active,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -404,7 +404,7 @@
         .with_graceful_shutdown(stopped)
         .await
     {
-        log::error!("listener failed: {e}");
+        log::error!("listener failed error={e}");
     }
 }
 
@@ -415,6 +415,7 @@
             .metrics
             .set(ops::Metric::InFlight, load.in_flight.into());
         shared.metrics.set(ops::Metric::Queued, load.queued.into());
+        operator::refresh_metrics(&shared).await;
         shared.metrics.flush();
         let _ = tokio::time::timeout(METRICS_FLUSH, stop.changed()).await;
     }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -99,9 +99,10 @@
 }
 
 pub(crate) async fn report(shared: &Shared) -> StateReport {
+    refresh_metrics(shared).await;
     let now = shared.clock.now();
     let spread = spread_status(shared).await;
-    let ejected = refresh_metrics(shared, &spread);
+    let ejected = ejected(shared);
     let phase = match shared.target.phase(now) {
         Phase::Up => "up",
         Phase::Draining => "draining",
@@ -156,15 +157,17 @@
     }
 }
 
-/// Sets the metrics that are derived from other state, and returns the ejected instances.
-fn refresh_metrics(shared: &Shared, spread: &Status) -> BTreeSet<InstanceId> {
+/// Sets the metrics that are derived from other state.
+pub(crate) async fn refresh_metrics(shared: &Shared) {
+    let spread = spread_status(shared).await;
+    let metrics = &shared.metrics;
+    metrics.set(Metric::VersionConflicts, spread.conflicts);
+    metrics.set(Metric::Ejected, ejected(shared).len() as u64);
+}
+
+fn ejected(shared: &Shared) -> BTreeSet<InstanceId> {
     let services = shared.services.all();
-    let ejected: BTreeSet<_> = services.values().flat_map(|s| s.ejected()).collect();
-    shared.metrics.set(Metric::Ejected, ejected.len() as u64);
-    shared
-        .metrics
-        .set(Metric::VersionConflicts, spread.conflicts);
-    ejected
+    services.values().flat_map(|s| s.ejected()).collect()
 }
 
 async fn spread_status(shared: &Shared) -> Status {
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -177,7 +177,7 @@
             self.count(&a);
         }
         if let Some(format) = self.fold.behind() {
-            log::warn!("record format {format} is unknown to this build");
+            log::warn!("log behind record_format={format}");
             self.pause();
             self.tell(Event::LogBehind { format }).await;
             self.behind_told = true;
--- a/crates/node/src/rpc.rs
+++ b/crates/node/src/rpc.rs
@@ -186,9 +186,13 @@
     }
 
     async fn exchange(self, _: context::Context, req: Sealed) -> Option<Sealed> {
-        let table: Table = self.open(&req, "exchange")?;
+        let (scope, table): (Scope, Table) = self.open(&req, "exchange")?;
         let links = self.shared.links.get()?;
-        let own = links.gossip.ask(gossip::Exchange(table)).await.ok()?;
+        let own = links
+            .gossip
+            .ask(gossip::Exchange(scope, table))
+            .await
+            .ok()?;
         self.reply(&own.0, "exchanged")
     }
 
@@ -289,10 +293,11 @@
 pub(crate) async fn exchange(
     shared: &Shared,
     to: SocketAddr,
+    scope: Scope,
     table: Table,
 ) -> Result<Table, RpcError> {
     let call = async |c: TransferClient, req| c.exchange(context::current(), req).await;
-    exchange_sealed(shared, to, &table, ("exchange", "exchanged"), call).await
+    exchange_sealed(shared, to, &(scope, table), ("exchange", "exchanged"), call).await
 }
 
 /// Fetches a newer configuration from the node at `to`.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,6 +1,6 @@
 //! State that the listeners and actors of a node share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -90,6 +90,8 @@
     pub(crate) claims_wanted: watch::Sender<bool>,
     /// Live members in scope, as last reported by membership.
     pub(crate) members: ArcSwap<BTreeMap<InstanceId, Record>>,
+    /// Those of them that began to take work lately.
+    pub(crate) fresh: ArcSwap<BTreeSet<InstanceId>>,
     snapshot: ArcSwap<Snapshot>,
     ready: AtomicBool,
     draining: AtomicBool,
@@ -125,6 +127,7 @@
             tasks: TaskTracker::new(),
             claims_wanted: watch::Sender::new(false),
             members: ArcSwap::default(),
+            fresh: ArcSwap::default(),
             snapshot: ArcSwap::new(snapshot),
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -188,7 +191,9 @@
     /// Gives the pickers the present members.
     pub(crate) fn refresh_instances(&self) {
         let members = self.members.load();
-        let instances: Vec<_> = members.values().map(crate::gossip::instance).collect();
+        let fresh = self.fresh.load();
+        let instance = |r: &Record| crate::gossip::instance(r, fresh.contains(&r.id));
+        let instances: Vec<_> = members.values().map(instance).collect();
         self.services.set_instances(self.clock.now(), &instances);
         self.metrics.set(Metric::Members, members.len() as u64);
     }
