Wire issued keys, checkpoints and the claim window into the node

The claim keeper writes checkpoints of streams in use, at a random time between one and 1.5 checkpoint periods unless another node's checkpoint was seen.

A longer window could make a key with a time inside free again after its entry had expired, so the fold keeps the latest time of an expired key (also in checkpoints) and refuses keys up to it. With a constant window that refuses nothing that was accepted before.

Faults found by reading and corrected here: a retry that ended with "not run" hid an earlier attempt that may have run (also after hedges and before code 108); the fingerprint of a body over 64 KiB depended on the pieces in which it arrived; two idempotency keys or time-outs in one request were read as one; a head near the limits of the HTTP parser failed between the nodes; a new target inherited the drain of the one before; a target that died during its answer got no strike; a listener that takes one more connection while its process dies counted as alive; a repeat of a finished transfer was refused while the target drained; the graceful shutdown did not count the answers of transfers.

Tests of the request path with real processes come with it.

--- a/crates/claim/src/claims.rs
+++ b/crates/claim/src/claims.rs
@@ -1,6 +1,7 @@
 //! One interface for both kinds of keys of one service on one node.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use wire::{Code, Fingerprint, Time};
 
@@ -91,6 +92,13 @@
         &mut self.issuer
     }
 
+    /// Sets how long keys count; see [`Shard::set_window`].
+    pub fn set_window(&mut self, window: Duration) {
+        for shard in &mut self.shards {
+            shard.set_window(window);
+        }
+    }
+
     /// Returns when [`ClaimEvent::Tick`] is due.
     pub fn next_wake(&self) -> Option<Time> {
         self.shards.iter().filter_map(Shard::next_wake).min()
--- a/crates/claim/src/fold.rs
+++ b/crates/claim/src/fold.rs
@@ -78,6 +78,9 @@
     answers: VecDeque<(Key, ClaimId)>,
     answers_bytes: usize,
     swept: UnixMillis,
+    /// Latest time inside of a key whose entry was removed. After a change of the window an older
+    /// key may be inside of the new window although it ran, so it stays refused.
+    forgotten: UnixMillis,
     last_checkpoint: Option<Offset>,
     /// Set while older records have expired and no checkpoint has been found.
     waiting: Option<Waiting>,
@@ -95,10 +98,12 @@
         Fold::default()
     }
 
-    /// Makes an empty state that takes `next` as the start of the stream.
-    pub fn starting_at(next: Offset) -> Fold {
+    /// Makes an empty state that takes `next` as the start of the stream. Keys with a time up to
+    /// `forgotten` count as expired.
+    pub fn starting_at(next: Offset, forgotten: UnixMillis) -> Fold {
         Fold {
             next,
+            forgotten,
             ..Fold::default()
         }
     }
@@ -153,6 +158,15 @@
         self.entries.get(key).filter(|e| e.expires >= at)
     }
 
+    /// Returns whether an entry of `key` may have existed that doesn't count any more at `at`. Only
+    /// for keys with a time inside; the others may be used again once they have expired.
+    pub fn is_forgotten(&self, key: &Key, at: UnixMillis) -> bool {
+        let at = at.max(self.clock);
+        let expired = |e: &Entry| e.expires < at;
+        key.time()
+            .is_some_and(|t| t <= self.forgotten || self.entries.get(key).is_some_and(expired))
+    }
+
     /// Returns whether a record of the time `at` would remove expired entries.
     pub fn is_clock_behind(&self, at: UnixMillis) -> bool {
         at >= self.swept + SWEEP_EVERY
@@ -199,7 +213,7 @@
             // have been forgotten, so it must not hold the key.
             return Applied::Lost(c.id);
         }
-        if self.get(&c.key, c.at).is_some() {
+        if self.get(&c.key, c.at).is_some() || self.is_forgotten(&c.key, c.at) {
             self.end(c.id, remember);
             return Applied::Lost(c.id);
         }
@@ -279,11 +293,16 @@
         self.swept = self.clock;
         let clock = self.clock;
         let mut freed = 0;
-        self.entries.retain(|_, e| {
+        let mut forgotten = self.forgotten;
+        self.entries.retain(|key, e| {
             let keep = e.expires >= clock;
-            freed += if keep { 0 } else { answer_bytes(e) };
+            if !keep {
+                freed += answer_bytes(e);
+                forgotten = forgotten.max(key.time().unwrap_or_default());
+            }
             keep
         });
+        self.forgotten = forgotten;
         self.answers_bytes -= freed;
         let entries = &self.entries;
         let is_kept = |key: &Key, id: ClaimId| entries.get(key).is_some_and(|e| e.holder == id);
@@ -318,6 +337,7 @@
                 id,
                 as_of,
                 clock: self.clock,
+                forgotten: self.forgotten,
                 part: u32::try_from(i).unwrap_or(u32::MAX),
                 parts: u32::try_from(parts).unwrap_or(u32::MAX),
                 entries: slice(&entries, i).to_vec(),
@@ -357,6 +377,7 @@
         for c in parts {
             fold.next = c.as_of.next();
             fold.clock = c.clock;
+            fold.forgotten = c.forgotten;
             fold.entries.extend(c.entries);
             fold.ended.extend(c.ended);
         }
--- a/crates/claim/src/issued.rs
+++ b/crates/claim/src/issued.rs
@@ -155,11 +155,7 @@
 
     /// Decides about a request that presents `key`.
     pub fn admit(&mut self, key: &IssuedKey, request: Fingerprint) -> Admitted {
-        let parts = mac_parts(key.instance, key.boot, key.n);
-        if !self
-            .keys
-            .verify(&parts.each_ref().map(|p| p.as_slice()), &key.mac)
-        {
+        if !self.is_genuine(key) {
             return Admitted::Refuse(Code::BadHeader);
         }
         if key.instance != self.instance || key.boot != self.boot {
@@ -175,6 +171,20 @@
         }
     }
 
+    /// Returns the decision about a request whose key was presented before, if that is known here.
+    pub fn peek(&self, key: &IssuedKey, request: Fingerprint) -> Option<Admitted> {
+        if key.instance != self.instance || key.boot != self.boot || !self.is_genuine(key) {
+            return None;
+        }
+        Some(present(self.tickets.get(&key.n)?, request))
+    }
+
+    fn is_genuine(&self, key: &IssuedKey) -> bool {
+        let parts = mac_parts(key.instance, key.boot, key.n);
+        let parts = parts.each_ref().map(|p| p.as_slice());
+        self.keys.verify(&parts, &key.mac)
+    }
+
     fn grant(&mut self, n: u64, request: Fingerprint) -> Admitted {
         let state = State::Granted;
         self.tickets.insert(n, Ticket { request, state });
--- a/crates/claim/src/record.rs
+++ b/crates/claim/src/record.rs
@@ -127,6 +127,8 @@
     pub as_of: Offset,
     /// Clock of the fold.
     pub clock: UnixMillis,
+    /// Latest time inside of a key that has expired.
+    pub forgotten: UnixMillis,
     /// Number of this part, from 0.
     pub part: u32,
     /// Number of parts.
--- a/crates/claim/src/shard.rs
+++ b/crates/claim/src/shard.rs
@@ -199,6 +199,8 @@
     Running(UnixMillis),
     Ended(Outcome),
     Mismatch,
+    /// The stream may have known the key and forgotten it.
+    Expired,
 }
 
 #[derive(Debug)]
@@ -247,6 +249,13 @@
         }
     }
 
+    /// Sets how long keys count from now on. Claims that are in the stream keep their own time, and
+    /// the fold refuses keys from before one that has expired, so a longer window can't make a key
+    /// free again.
+    pub fn set_window(&mut self, window: Duration) {
+        self.cfg.window = window;
+    }
+
     /// Returns the offset from which the driver must read next.
     pub fn read_from(&self) -> Offset {
         self.fold.next()
@@ -341,6 +350,7 @@
             View::Running(until) => self.wait(now, until, ask, out),
             View::Ended(outcome) => conclude(out, ask.req, outcome),
             View::Mismatch => refuse(out, ask.req, Code::KeyMismatch),
+            View::Expired => refuse(out, ask.req, Code::KeyExpired),
         }
     }
 
@@ -354,6 +364,7 @@
             return own.outcome.clone().map_or(running, View::Ended);
         }
         match self.fold.get(&ask.key, now.at) {
+            None if self.fold.is_forgotten(&ask.key, now.at) => View::Expired,
             None => View::Free,
             Some(e) if e.request != ask.request => View::Mismatch,
             Some(Entry {
@@ -619,7 +630,8 @@
             Readiness::NoCheckpoint(since, end)
                 if now.time - since > self.cfg.window + 4 * MAX_SKEW =>
             {
-                self.fold = Fold::starting_at(end);
+                let seen = UnixMillis(now.at.0.saturating_sub(millis_u64(now.time - since)));
+                self.fold = Fold::starting_at(end, seen + MAX_SKEW);
                 self.readiness = Readiness::Reading;
             }
             Readiness::NoCheckpoint(..) => {}
@@ -721,6 +733,10 @@
     out.push(Action::Refuse { req, refusal });
 }
 
+fn millis_u64(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn millis_u32(d: Duration) -> u32 {
     u32::try_from(d.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/node/src/beside.rs
+++ b/crates/node/src/beside.rs
@@ -1,6 +1,7 @@
 //! Serving a request at the node beside the target: admission, claim, hand-over.
 
-use std::sync::Arc;
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use admit::Offer;
@@ -23,6 +24,9 @@
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// A target that still accepts connections after a request broke has not died.
 const DEATH_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+/// A connection that stays open for this long shows that the target lives. A dying process closes
+/// its sockets within a few milliseconds.
+const DEATH_WATCH: Duration = Duration::from_millis(20);
 
 /// A request on its way to the target.
 #[derive(Debug)]
@@ -37,34 +41,41 @@
     pub(crate) body: Inbound,
     pub(crate) key: Option<String>,
     pub(crate) parent: ParentContext,
+    /// The life of the target that died while it ran the request.
+    pub(crate) strike: Arc<OnceLock<u64>>,
 }
 
 /// Serves a request; every outcome, refusals too, is a response.
 pub(crate) async fn serve(shared: &Arc<Shared>, hop: Hop) -> Response {
+    let strike = hop.strike.clone();
     let mut res = match try_serve(shared, hop).await {
         Ok(res) => res,
         Err(refusal) => problem::response(refusal),
     };
+    if let Some(boot) = strike.get() {
+        problem::add_strike(res.headers_mut(), *boot);
+    }
     problem::add_load(res.headers_mut(), shared.gate.load());
     res
 }
 
 async fn try_serve(shared: &Arc<Shared>, hop: Hop) -> Result<Response, Refusal> {
-    if shared.is_draining() {
-        return Err(Code::Draining.into());
-    }
     if hop.meta.service != shared.settings.service {
         return Err(Code::NoInstance.into());
     }
-    shared.target.address(shared.clock.now())?;
-    if shared.is_quarantined(hop.meta.fingerprint) {
-        return Err(Code::Quarantined.into());
-    }
+    // A repeat of a request that ran is no new work, so it is answered as long as that is possible.
     if hop.meta.repeat == Repeat::Never
         && let Some(res) = claims::known_answer(shared, &hop).await
     {
         return Ok(res);
     }
+    if shared.is_draining() {
+        return Err(Code::Draining.into());
+    }
+    shared.target.address(shared.clock.now())?;
+    if shared.is_quarantined(hop.meta.fingerprint) {
+        return Err(Code::Quarantined.into());
+    }
     let permit = admit(shared, &hop).await?;
     match hop.meta.repeat {
         Repeat::Safe => hand_over(shared, hop, permit).await,
@@ -154,23 +165,41 @@
         }
         Ok(Err(_)) => {
             shared.metrics.count(Metric::TargetLost);
-            strike_if_dead(shared, addr, hop.meta.fingerprint).await;
+            if let Some(boot) = strike_if_dead(shared, addr, hop.meta.fingerprint).await {
+                let _ = hop.strike.set(boot);
+            }
             Err(Code::TargetLost.into())
         }
         Err(_) => Err(Code::TargetTimeout.into()),
     }
 }
 
-/// Counts a strike against the request if the target died while it ran it.
-async fn strike_if_dead(shared: &Arc<Shared>, addr: std::net::SocketAddr, fp: Fingerprint) {
-    let connect = tokio::net::TcpStream::connect(addr);
-    if !matches!(
-        tokio::time::timeout(DEATH_CHECK_TIMEOUT, connect).await,
-        Ok(Ok(_))
-    ) {
-        shared.target_died();
-        shared.strike(fp).await;
+/// Counts a strike against the request if the target died while it ran it. Returns the target's
+/// life then.
+pub(crate) async fn strike_if_dead(
+    shared: &Arc<Shared>,
+    addr: SocketAddr,
+    fp: Fingerprint,
+) -> Option<u64> {
+    let boot = shared.target.boot();
+    if !is_dead(addr).await {
+        return None;
     }
+    shared.target_died();
+    shared.strike(fp, boot).await;
+    Some(boot)
+}
+
+/// Returns whether nothing holds a connection to `addr`. The connections of a dying process break
+/// one after the other, so its listener may take one more.
+async fn is_dead(addr: SocketAddr) -> bool {
+    let connect = tokio::net::TcpStream::connect(addr);
+    let Ok(Ok(mut tcp)) = tokio::time::timeout(DEATH_CHECK_TIMEOUT, connect).await else {
+        return true;
+    };
+    let mut buf = [0];
+    let read = tokio::io::AsyncReadExt::read(&mut tcp, &mut buf);
+    tokio::time::timeout(DEATH_WATCH, read).await.is_ok()
 }
 
 fn pass_on(
@@ -184,6 +213,7 @@
     let mut out = response_head(&res);
     let shared = shared.clone();
     let fingerprint = hop.meta.fingerprint;
+    let addr = res.remote_addr();
     let in_progress = shared.in_progress();
     let report = move |end| {
         // Held until here, so that the slot and the span last as long as the answer.
@@ -193,7 +223,15 @@
                 shared.clear_strikes(fingerprint);
                 permit.finish_ok();
             }
-            End::Broken => shared.metrics.count(Metric::AnswersBroken),
+            End::Broken => {
+                shared.metrics.count(Metric::AnswersBroken);
+                let cx = shared.clone();
+                shared.tasks.spawn(async move {
+                    if let Some(addr) = addr {
+                        strike_if_dead(&cx, addr, fingerprint).await;
+                    }
+                });
+            }
             End::Dropped => shared.metrics.count(Metric::Cancelled),
         }
     };
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -11,7 +11,8 @@
 use axum::response::Response;
 use bytes::Bytes;
 use claim::{
-    Action, Answer, Boot, Cfg, ClaimEvent, Claims, Event, Issuer, Key, Now, Outcome, ReqId, Shard,
+    Action, Admitted, Answer, Boot, Cfg, ClaimEvent, Claims, Event, IssuedKey, Issuer, Key, Now,
+    Outcome, ReqId, Shard,
 };
 use futures_util::StreamExt;
 use kameo::Actor;
@@ -28,13 +29,15 @@
 use crate::clock::unix_now;
 use crate::gate::Permit;
 use crate::problem;
-use crate::shared::Shared;
+use crate::shared::{InProgress, Shared};
 
 /// Claim streams of a service. Claims of one stream share appends.
 const SHARDS: usize = 4;
 /// A stream is followed for this long after its last request.
 const FOLLOW: Duration = Duration::from_secs(30);
 const LONG_POLL: Duration = Duration::from_secs(1);
+/// Spreads the checkpoints of several nodes, so that one writes and the others see it in time.
+const CHECKPOINT_SPREAD: f64 = 0.5;
 const RETRY_MS: std::ops::Range<u64> = 20..200;
 /// Pieces of an answer that wait for a slow caller.
 const ANSWER_PIECES: usize = 16;
@@ -55,9 +58,19 @@
     pending: BTreeMap<ReqId, oneshot::Sender<Decision>>,
     /// Positions and demand, watched by the readers of the streams.
     follow: Vec<watch::Sender<Follow>>,
+    duties: Vec<CheckpointDuty>,
+    rng: StdRng,
     wake: watch::Sender<Time>,
 }
 
+/// When the next checkpoint of a stream is due from this node.
+#[derive(Clone, Copy, Debug)]
+struct CheckpointDuty {
+    due: Time,
+    /// The latest checkpoint seen when `due` was set.
+    seen: Option<Offset>,
+}
+
 /// What the reader of a stream has to do.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Follow {
@@ -97,22 +110,38 @@
         let shard = |i: usize| Shard::new(cfg.clone(), seed.wrapping_add(i as u64));
         let issuer = Issuer::new(shared.id, boot, shared.settings.keys.clone());
         let claims = Claims::new((0..SHARDS).map(shard).collect(), issuer);
+        let mut rng = StdRng::seed_from_u64(seed);
+        let duty = |_| CheckpointDuty {
+            due: next_checkpoint(&shared, &mut rng),
+            seen: None,
+        };
+        let duties = (0..SHARDS).map(duty).collect();
         Ok(ClaimKeeper {
             shared,
             claims,
             pending: BTreeMap::new(),
             follow,
+            duties,
+            rng,
             wake,
         })
     }
 }
 
+fn next_checkpoint(shared: &Shared, rng: &mut StdRng) -> Time {
+    let extra = rng.random_range(0.0..CHECKPOINT_SPREAD);
+    let period = shared.settings.checkpoint_period;
+    shared.clock.now() + period.mul_f64(1.0 + extra)
+}
+
 impl ClaimKeeper {
     fn handle_event(&mut self, event: ClaimEvent, me: &ActorRef<Self>) {
         let now = Now {
             time: self.shared.clock.now(),
             at: unix_now(),
         };
+        self.claims
+            .set_window(self.shared.snapshot().claim_window());
         let mut actions: VecDeque<_> = self.claims.handle(now, event).into();
         while let Some(action) = actions.pop_front() {
             match action.action {
@@ -132,11 +161,43 @@
                 }
             }
         }
-        self.wake
-            .send_replace(self.claims.next_wake().unwrap_or(Time::MAX));
+        let wake = self.claims.next_wake().into_iter();
+        let wake = wake.chain(self.checkpoint_wake(now.time)).min();
+        self.wake.send_replace(wake.unwrap_or(Time::MAX));
         self.update_follow(now.time);
     }
 
+    fn is_overdue(&self, shard: usize, now: Time) -> bool {
+        *self.shared.claims_wanted.borrow() && self.duties[shard].due <= now
+    }
+
+    /// Returns when the next checkpoint is due, or when to look again after one that is overdue
+    /// because the stream can't be read.
+    fn checkpoint_wake(&self, now: Time) -> Option<Time> {
+        let wake = |d: &CheckpointDuty| if d.due > now { d.due } else { now + FOLLOW / 2 };
+        self.duties.iter().map(wake).min()
+    }
+
+    /// Writes a checkpoint if one is due. The stream was just read to its end, so the state is not
+    /// older than what other nodes have written.
+    fn check_duty(&mut self, shard: usize, me: &ActorRef<Self>) {
+        let now = self.shared.clock.now();
+        let fold = self.claims.shards()[shard].fold();
+        let (latest, in_use) = (fold.last_checkpoint(), fold.next() > Offset(0));
+        let is_seen = latest != self.duties[shard].seen;
+        let is_due = self.is_overdue(shard, now);
+        if !is_seen && !is_due {
+            return;
+        }
+        self.duties[shard] = CheckpointDuty {
+            due: next_checkpoint(&self.shared, &mut self.rng),
+            seen: latest,
+        };
+        if is_due && !is_seen && in_use {
+            self.handle_event(ClaimEvent::Stream(shard, Event::Checkpoint), me);
+        }
+    }
+
     fn decide(&mut self, req: ReqId, decision: Decision) -> bool {
         self.pending
             .remove(&req)
@@ -182,9 +243,9 @@
 
     /// Tells the readers which streams to read.
     fn update_follow(&self, now: Time) {
-        for (tx, shard) in self.follow.iter().zip(self.claims.shards()) {
+        for (i, (tx, shard)) in self.follow.iter().zip(self.claims.shards()).enumerate() {
             let from = shard.read_from();
-            let wanted = shard.unsettled() > 0;
+            let wanted = shard.unsettled() > 0 || self.is_overdue(i, now);
             tx.send_if_modified(|f| {
                 let until = if wanted { now + FOLLOW } else { f.until };
                 let changed = f.from != from || (wanted && f.until <= now);
@@ -255,9 +316,13 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: Stream, cx: &mut Context<Self, ()>) {
+        let at_end = matches!(msg.events.last(), Some(Event::End { .. }));
         for event in msg.events {
             self.handle_event(ClaimEvent::Stream(msg.shard, event), cx.actor_ref());
         }
+        if at_end {
+            self.check_duty(msg.shard, cx.actor_ref());
+        }
     }
 }
 
@@ -293,6 +358,13 @@
     type Reply = Option<Result<Answer, Code>>;
 
     async fn handle(&mut self, msg: Peek, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        if let Ok(key) = msg.key.parse::<IssuedKey>() {
+            return match self.claims.issuer().peek(&key, msg.request)? {
+                Admitted::Answer(answer) => Some(Ok(answer)),
+                Admitted::Refuse(code) => Some(Err(code)),
+                Admitted::Run => None,
+            };
+        }
         let key = Key::try_from(msg.key.as_str()).ok()?;
         let shard = self.claims.shards().get(key.shard(SHARDS))?;
         let entry = shard.fold().get(&key, unix_now())?;
@@ -494,7 +566,7 @@
     asked.settled = true;
     let span = shared.tracer.start("target", &hop.parent);
     let event = match beside::exchange(&shared, &mut hop, &span).await {
-        Ok(res) => relay(&shared, res, req, head).await,
+        Ok(res) => relay(&shared, res, &hop, req, head).await,
         Err(refusal) => {
             let _ = head.send(Err(after_hand_over(refusal)));
             ClaimEvent::Lost(req)
@@ -519,13 +591,15 @@
 async fn relay(
     shared: &Arc<Shared>,
     res: reqwest::Response,
+    hop: &Hop,
     req: ReqId,
     head: oneshot::Sender<Head>,
 ) -> ClaimEvent {
     let status = res.status().as_u16();
     let (tx, rx) = mpsc::channel::<Result<Bytes, std::io::Error>>(ANSWER_PIECES);
     let mut out = beside::response_head(&res);
-    *out.body_mut() = Body::from_stream(receiver_stream(rx));
+    let addr = res.remote_addr();
+    *out.body_mut() = Body::from_stream(receiver_stream(rx, shared.in_progress()));
     let _ = head.send(Ok(out));
     let mut answer = Vec::new();
     let mut pieces = res.bytes_stream();
@@ -534,6 +608,9 @@
             shared.metrics.count(Metric::AnswersBroken);
             // The status is known but the answer is not, so a repeat must not get a part of it.
             let _ = tx.send(Err(std::io::Error::other("target lost"))).await;
+            if let Some(addr) = addr {
+                beside::strike_if_dead(shared, addr, hop.meta.fingerprint).await;
+            }
             return ClaimEvent::Lost(req);
         };
         if answer.len() <= claim::MAX_ANSWER_BYTES {
@@ -549,8 +626,15 @@
     }
 }
 
-fn receiver_stream<T>(mut rx: mpsc::Receiver<T>) -> impl futures_util::Stream<Item = T> {
-    futures_util::stream::poll_fn(move |cx| rx.poll_recv(cx))
+fn receiver_stream<T>(
+    mut rx: mpsc::Receiver<T>,
+    in_progress: InProgress,
+) -> impl futures_util::Stream<Item = T> {
+    futures_util::stream::poll_fn(move |cx| {
+        // A graceful shutdown waits until the last piece has left.
+        let _held = &in_progress;
+        rx.poll_recv(cx)
+    })
 }
 
 fn kept(answer: Answer) -> Response {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -4,19 +4,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use axum::Router;
 use axum::body::Body;
-use axum::extract::{ConnectInfo, Request, State};
-use axum::http::{HeaderMap, HeaderValue, Method, header};
-use axum::response::Response;
+use axum::extract::{ConnectInfo, Query, Request, State};
+use axum::http::{HeaderMap, HeaderValue, Method, Uri, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::post;
+use axum::{Json, Router};
+use claim::IssuedKey;
 use config::{Repeat, Route, Snapshot};
 use futures_util::StreamExt;
 use ops::{Metric, ParentContext, Span};
 use route::{Ask, Attempts, Failure, Kind, Outcome, RouteKey};
-use wire::{Code, Executed, Fingerprint, Refusal, Time};
+use serde::Deserialize;
+use wire::{Code, Executed, Fingerprint, InstanceId, Refusal, Time};
 
 use crate::beside::{self, Hop};
 use crate::body::{End, Inbound, Reporting};
+use crate::claims::IssueKeys;
 use crate::headers::{HOP, HopMeta, sign_hop, strip_hop_by_hop, strip_own};
 use crate::problem;
 use crate::services::{Chosen, ServiceState};
@@ -25,9 +29,49 @@
 /// Lets the refusal of the node beside the target arrive before this node's own time-out.
 const DEADLINE_GRACE: Duration = Duration::from_millis(50);
 
+/// Headers of a request. The nodes add some, and an HTTP parser takes 100 at most.
+const MAX_HEADERS: usize = 64;
+/// Bytes of a request's path, query and headers; well under what the peers' parser takes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
 /// Routes of the callers' listener.
 pub(crate) fn router(shared: Arc<Shared>) -> Router {
-    Router::new().fallback(handle).with_state(shared)
+    Router::new()
+        .route("/.briarlug/keys", post(issue_keys))
+        .fallback(handle)
+        .with_state(shared)
+}
+
+#[derive(Debug, Deserialize)]
+struct IssueParams {
+    #[serde(default = "one")]
+    count: usize,
+}
+
+fn one() -> usize {
+    1
+}
+
+/// Issues keys for the service of the target beside this node, at most [`claim::MAX_BLOCK`].
+async fn issue_keys(State(shared): State<Arc<Shared>>, uri: Uri) -> Response {
+    match try_issue_keys(&shared, &uri).await {
+        Ok(keys) => Json(keys).into_response(),
+        Err(refusal) => {
+            count_refusal(&shared, refusal.code);
+            problem::response(refusal)
+        }
+    }
+}
+
+async fn try_issue_keys(shared: &Shared, uri: &Uri) -> Result<Vec<String>, Refusal> {
+    shared.check_serving()?;
+    let Query(IssueParams { count }) = Query::try_from_uri(uri).map_err(|_| Code::BadHeader)?;
+    if !(1..=claim::MAX_BLOCK).contains(&count) {
+        return Err(Code::BadHeader.into());
+    }
+    let links = shared.links.get().ok_or(Code::NotReady)?;
+    let keys = links.claims.ask(IssueKeys(count)).await;
+    Ok(keys.map_err(|_| Code::ClaimUnavailable)?)
 }
 
 async fn handle(
@@ -94,6 +138,7 @@
             .path_and_query()
             .map_or("/", |p| p.as_str())
             .to_owned();
+        check_head(&path, &parts.headers)?;
         let route = snapshot
             .route_for(parts.method.as_str(), &path)
             .ok_or(Code::NoRoute)?;
@@ -108,7 +153,15 @@
             return Err(Code::KeyMissing.into());
         }
         let body = read_body(shared, body, deadline).await?;
-        let fingerprint = fingerprint(&parts.method, &path, route, key.as_deref(), &body);
+        let length = body_length(&parts.headers, &body);
+        let fingerprint = Fingerprint::of(&[
+            route.service.0.as_bytes(),
+            parts.method.as_str().as_bytes(),
+            path.as_bytes(),
+            key.as_deref().unwrap_or_default().as_bytes(),
+            &length.to_le_bytes(),
+            body.head(),
+        ]);
         if shared.is_quarantined(fingerprint) {
             return Err(Code::Quarantined.into());
         }
@@ -146,6 +199,9 @@
     }
 
     async fn run(mut self) -> Result<Answer, Refusal> {
+        if let Some(instance) = self.issuer() {
+            return self.run_at(instance).await;
+        }
         let idempotent = self.meta.repeat == Repeat::Safe;
         let route = RouteKey(self.meta.route);
         let mut attempts = Attempts::new(idempotent);
@@ -170,7 +226,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
-            refusal = failed.refusal;
+            refusal = overall(refusal, failed.refusal);
             let failure = Failure {
                 kind: failed.kind,
                 from_below: false,
@@ -188,12 +244,44 @@
             }
             if self.shared.is_quarantined(self.meta.fingerprint) {
                 self.service.refund_retry();
-                return Err(Code::Quarantined.into());
+                return Err(overall(refusal, Code::Quarantined.into()));
             }
             self.shared.metrics.count(Metric::Retries);
         }
     }
 
+    /// Returns the instance that issued the request's key, if a node did.
+    fn issuer(&self) -> Option<InstanceId> {
+        if self.meta.repeat == Repeat::Safe {
+            return None;
+        }
+        let key: IssuedKey = self.key.as_deref()?.parse().ok()?;
+        Some(key.instance)
+    }
+
+    /// Sends the request to the only instance that may run it.
+    ///
+    /// An earlier request with the key may have run there, so if the instance can't be asked the
+    /// outcome is unknown.
+    async fn run_at(mut self, instance: InstanceId) -> Result<Answer, Refusal> {
+        let route = RouteKey(self.meta.route);
+        let members = self.shared.members.load();
+        let record = members.get(&instance);
+        let addr = record
+            .filter(|r| r.service == self.meta.service)
+            .map(|r| r.data)
+            .ok_or(Code::OutcomeUnknown)?;
+        drop(members);
+        let chosen = self
+            .service
+            .begin_at(self.shared.clock.now(), instance, addr, route);
+        let reply = self.attempt(chosen, 1).await;
+        reply.map_err(|failed| match failed.kind {
+            Kind::ConnectFailed => Code::OutcomeUnknown.into(),
+            _ => failed.refusal,
+        })
+    }
+
     /// Sends the request to `chosen` and, if that takes unusually long, to one more instance.
     async fn send_hedged(
         &mut self,
@@ -241,6 +329,7 @@
             service: self.service.clone(),
             chosen,
             route: RouteKey(self.meta.route),
+            fingerprint: self.meta.fingerprint,
             began: now,
             done: false,
         };
@@ -260,6 +349,7 @@
             },
             key: self.key.clone(),
             parent: self.parent.clone(),
+            strike: Arc::default(),
         };
         let shared = self.shared.clone();
         async move {
@@ -280,8 +370,8 @@
     use futures_util::future::{Either, select};
     match select(first, second).await {
         Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => Ok(answer),
-        Either::Left((Err(_), other)) => other.await,
-        Either::Right((Err(_), other)) => other.await,
+        Either::Left((Err(lost), other)) => other.await.map_err(|f| f.after(lost)),
+        Either::Right((Err(lost), other)) => other.await.map_err(|f| f.after(lost)),
     }
 }
 
@@ -328,12 +418,32 @@
     refusal: Refusal,
 }
 
+impl Failed {
+    fn after(self, earlier: Failed) -> Failed {
+        Failed {
+            refusal: overall(earlier.refusal, self.refusal),
+            ..self
+        }
+    }
+}
+
+/// Returns the refusal for a request whose attempts ended with `earlier` and then `later`. One
+/// attempt that may have run is enough for the request to have run.
+fn overall(earlier: Refusal, later: Refusal) -> Refusal {
+    if earlier.code.executed() == Some(Executed::No) {
+        later
+    } else {
+        earlier
+    }
+}
+
 /// An attempt in flight; one that is dropped counts as overtaken or cancelled.
 struct InFlight {
     shared: Arc<Shared>,
     service: Arc<ServiceState>,
     chosen: Chosen,
     route: RouteKey,
+    fingerprint: Fingerprint,
     began: Time,
     done: bool,
 }
@@ -378,6 +488,11 @@
                 code => Kind::Refused(code),
             };
             self.finish(Outcome { kind, load });
+            // Gossip may bring the strike only after the retry has killed a third target.
+            if let Some(boot) = problem::strike_of(&headers) {
+                self.shared
+                    .count_strike(self.fingerprint, self.chosen.pick.id, boot);
+            }
             let retry_after = problem::retry_after_of(&headers);
             return Err(Failed {
                 kind,
@@ -489,21 +604,27 @@
     }
 }
 
-fn fingerprint(
-    method: &Method,
-    path: &str,
-    route: &Route,
-    key: Option<&str>,
-    body: &Inbound,
-) -> Fingerprint {
-    Fingerprint::of(&[
-        route.service.0.as_bytes(),
-        method.as_str().as_bytes(),
-        path.as_bytes(),
-        key.unwrap_or_default().as_bytes(),
-        &(body.prefix.len() as u64).to_le_bytes(),
-        body.head(),
-    ])
+/// Returns the length of a request's body. The part that was read of a long body varies with the
+/// sizes of the pieces in which it arrived, so it must not take part in the fingerprint.
+fn body_length(headers: &HeaderMap, body: &Inbound) -> u64 {
+    if body.rest.is_none() {
+        return body.prefix.len() as u64;
+    }
+    let declared = text(headers, "content-length").and_then(|v| v.parse().ok());
+    declared.unwrap_or(u64::MAX)
+}
+
+/// Refuses a head that another hop might not take, or that two hops might read differently.
+fn check_head(path: &str, headers: &HeaderMap) -> Result<(), Code> {
+    let line =
+        |(name, value): (&header::HeaderName, &HeaderValue)| name.as_str().len() + value.len();
+    let bytes = path.len() + headers.iter().map(line).sum::<usize>();
+    let single = [wire::TIMEOUT_MS, wire::CALLER, "idempotency-key"];
+    let is_single = |name: &&str| headers.get_all(*name).iter().count() <= 1;
+    if headers.len() > MAX_HEADERS || bytes > MAX_HEAD_BYTES || !single.iter().all(is_single) {
+        return Err(Code::BadHeader);
+    }
+    Ok(())
 }
 
 fn insert(headers: &mut HeaderMap, name: &'static str, value: &str) {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -26,6 +26,7 @@
 
 async fn handle(State(shared): State<Arc<Shared>>, req: Request) -> Response {
     shared.metrics.count(Metric::Hops);
+    let _in_progress = shared.in_progress();
     match read(&shared, req).await {
         Ok(hop) => beside::serve(&shared, hop).await,
         Err(refusal) => problem::response(refusal),
@@ -67,6 +68,7 @@
         body,
         key,
         parent,
+        strike: Arc::default(),
     })
 }
 
--- a/crates/node/src/problem.rs
+++ b/crates/node/src/problem.rs
@@ -64,6 +64,16 @@
     headers.get(wire::LOAD)?.to_str().ok()?.parse().ok()
 }
 
+/// Marks a refusal with the life of the target that died while it ran the request.
+pub(crate) fn add_strike(headers: &mut HeaderMap, boot: u64) {
+    headers.insert(wire::STRIKE, HeaderValue::from(boot));
+}
+
+/// Reads the mark that [`add_strike`] wrote.
+pub(crate) fn strike_of(headers: &HeaderMap) -> Option<u64> {
+    headers.get(wire::STRIKE)?.to_str().ok()?.parse().ok()
+}
+
 // `Retry-After` has whole seconds; rounding down would invite a repeat that is too early.
 fn whole_seconds(d: Duration) -> u64 {
     d.as_secs() + u64::from(d.subsec_nanos() > 0)
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -64,6 +64,19 @@
         Some(Chosen { pick, addr, ticket })
     }
 
+    /// Counts an attempt at an instance that nobody had to choose.
+    pub(crate) fn begin_at(
+        &self,
+        now: Time,
+        id: InstanceId,
+        addr: SocketAddr,
+        route: RouteKey,
+    ) -> Chosen {
+        let ticket = self.inner.lock().picker.begin(now, id, route);
+        let pick = Pick { id, probe: false };
+        Chosen { pick, addr, ticket }
+    }
+
     pub(crate) fn end(&self, now: Time, ticket: Ticket, outcome: Outcome) {
         self.inner.lock().picker.end(now, ticket, outcome);
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -260,8 +260,7 @@
     }
 
     /// Counts a strike of the target beside this node and tells the mesh.
-    pub(crate) async fn strike(&self, fp: Fingerprint) {
-        let boot = self.target.boot();
+    pub(crate) async fn strike(&self, fp: Fingerprint, boot: u64) {
         self.count_strike(fp, self.id, boot);
         if let Some(links) = self.links.get() {
             let rumour = member::Rumour::Strike {
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -74,7 +74,8 @@
     }
 
     /// Takes an announcement. A target that drains stays so until it leaves or moves.
-    pub(crate) fn announce(&self, now: Time, addr: SocketAddr) {
+    /// Returns whether a new life began.
+    pub(crate) fn announce(&self, now: Time, addr: SocketAddr) -> bool {
         let mut known = self.known.lock();
         let next = match *known {
             Some(k) if k.addr == addr && k.phase != Phase::Down => Known { seen: now, ..k },
@@ -85,7 +86,9 @@
                 boot: old.map_or(1, |k| k.boot + 1),
             },
         };
+        let is_new = known.is_none_or(|k| k.boot != next.boot);
         *known = Some(next);
+        is_new
     }
 
     pub(crate) fn set_phase(&self, phase: Phase) {
@@ -126,9 +129,8 @@
             format!("{} is not on this instance", body.addr),
         );
     }
-    let before = shared.target.phase(shared.clock.now());
-    shared.target.announce(shared.clock.now(), body.addr);
-    if before == Phase::Down {
+    // A target that takes the place of a draining one must not inherit the drain.
+    if shared.target.announce(shared.clock.now(), body.addr) {
         log::info!("target up addr={}", body.addr);
         shared.gate.resume();
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -33,6 +33,10 @@
         Workdir { dir }
     }
 
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.dir.join(name)
+    }
+
     pub fn create(&self, name: &str, text: &str) -> PathBuf {
         let path = self.dir.join(name);
         std::fs::write(&path, text).unwrap();
--- /dev/null
+++ b/tests/requests/main.rs
@@ -0,0 +1,13 @@
+//! Guarantees of the request path under faults, with real processes.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod checkpoint;
+mod drain;
+mod hostile;
+mod issued;
+mod once;
+mod poison;
+mod retry;
+mod support;
--- /dev/null
+++ b/tests/requests/poison.rs
@@ -0,0 +1,69 @@
+//! Requests that crash the targets that run them.
+
+use std::time::Duration;
+
+use crate::common::Mesh;
+use crate::support::{get, mesh, send};
+
+const EXIT: Duration = Duration::from_millis(300);
+
+fn dead_targets(mesh: &mut Mesh) -> usize {
+    let targets = mesh.nodes.iter_mut().filter_map(|n| n.target.as_mut());
+    targets.filter_map(|t| t.wait_exit(EXIT)).count()
+}
+
+/// Guards against a request that kills one target after the other, and against a quarantine that
+/// stops other requests of its route.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_targets_is_stopped_after_two() {
+    let mut mesh = mesh("poison", &[("ledger-view", 5), ("title-desk", 1)], "").await;
+    let poison = get("/casks/9?crash=true");
+    let mut codes = Vec::new();
+    for n in 0..24 {
+        let reply = send(&mesh, n % 6, &poison).await.unwrap();
+        assert!(reply.code.is_some(), "{reply:?}");
+        codes.push(reply.code.unwrap());
+    }
+    assert_eq!(dead_targets(&mut mesh), 2, "{codes:?}");
+    // The request whose attempts have killed targets was not "not run".
+    assert_eq!(codes[0], 301, "{codes:?}");
+    assert!(codes.ends_with(&[108; 6]), "{codes:?}");
+    for entry in 0..6 {
+        let reply = send(&mesh, entry, &get("/casks/8")).await.unwrap();
+        assert!(reply.is_ok(), "{reply:?}");
+    }
+}
+
+/// Guards against innocent requests that fail, or are quarantined, because they ran beside one that
+/// killed their target.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_beside_a_crash_complete_after_a_retry() {
+    let mut mesh = mesh(
+        "poison-beside",
+        &[("gauge-vault", 4), ("title-desk", 1)],
+        "",
+    )
+    .await;
+    let sent: Vec<_> = (0..10)
+        .map(|n| {
+            let call = get(format!("/gauges/archive/{n}?work_ms=300"));
+            tokio::spawn(send(&mesh, n % 5, &call))
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(80)).await;
+    let poison = get("/gauges/archive/p?crash=true");
+    for entry in 0..5 {
+        let reply = send(&mesh, entry, &poison).await.unwrap();
+        assert!(matches!(reply.code, Some(301 | 108)), "{reply:?}");
+    }
+    for reply in sent {
+        let reply = reply.await.unwrap().unwrap();
+        assert!(reply.is_ok(), "{reply:?}");
+    }
+    assert_eq!(dead_targets(&mut mesh), 2);
+    for n in 0..10 {
+        let call = get(format!("/gauges/archive/{n}?work_ms=300"));
+        let reply = send(&mesh, n % 5, &call).await.unwrap();
+        assert!(reply.is_ok(), "{reply:?}");
+    }
+}
