Read what is left of a body that is answered early

A repeat of a transfer with a body of 300 kB is answered before the body has arrived.

A whole answer also clears the strikes at the entry node.

--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use axum::body::Body;
 use bytes::{Bytes, BytesMut};
@@ -14,6 +15,11 @@
 /// Part of the body that takes part in the fingerprint of a request.
 pub(crate) const FINGERPRINT_BYTES: usize = 4 * 1024;
 
+/// Most of an unread body that is thrown away.
+const LINGER_BYTES: usize = 4 * 1024 * 1024;
+/// Longest time for which an unread body is thrown away.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// How the passing on of a body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum End {
@@ -30,9 +36,49 @@
 pub(crate) struct Inbound {
     /// First part.
     pub(crate) prefix: Bytes,
-    /// What follows; absent when the prefix is the whole body. A body isn't `Sync`, the futures
-    /// that borrow a request have to be `Send`.
-    pub(crate) rest: Option<Mutex<Body>>,
+    /// What follows; absent when the prefix is the whole body.
+    pub(crate) rest: Option<Rest>,
+}
+
+/// The part of a body that has not been read.
+///
+/// When a request is answered without it, the sender may still be writing, and a connection that
+/// is closed then would lose the answer. So what is dropped unread is read and thrown away, within
+/// limits.
+#[derive(Debug)]
+pub(crate) struct Rest {
+    // A body isn't `Sync`, the futures that borrow a request have to be `Send`.
+    body: Mutex<Option<Body>>,
+}
+
+impl Rest {
+    fn new(body: Body) -> Rest {
+        Rest {
+            body: Mutex::new(Some(body)),
+        }
+    }
+
+    fn take(&mut self) -> Option<Body> {
+        self.body.get_mut().take()
+    }
+}
+
+impl Drop for Rest {
+    fn drop(&mut self) {
+        let Some(body) = self.take() else { return };
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(tokio::time::timeout(LINGER, discard(body)));
+        }
+    }
+}
+
+async fn discard(mut body: Body) {
+    let mut left = LINGER_BYTES;
+    while left > 0
+        && let Some(Ok(frame)) = body.frame().await
+    {
+        left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
+    }
 }
 
 impl Inbound {
@@ -52,7 +98,7 @@
         }
         Ok(Inbound {
             prefix: prefix.freeze(),
-            rest: Some(Mutex::new(body)),
+            rest: Some(Rest::new(body)),
         })
     }
 
@@ -66,7 +112,7 @@
         if whole {
             return Some(self.prefix.clone().into());
         }
-        let rest = self.rest.take()?.into_inner();
+        let rest = self.rest.take()?.take()?;
         let head = futures_util::stream::iter([Ok(self.prefix.clone())]);
         let tail = rest.into_data_stream();
         Some(reqwest::Body::wrap_stream(futures_util::StreamExt::chain(
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -577,6 +577,9 @@
                 End::Dropped => (Kind::Cancelled, Metric::Cancelled),
             };
             shared.metrics.count(metric);
+            if end == End::Whole {
+                shared.clear_strikes(in_flight.fingerprint);
+            }
             in_flight.finish(Outcome { kind, load });
         };
         *res.body_mut() = match self.source {
