--- /dev/null
+++ b/crates/claim/tests/window.rs
@@ -0,0 +1,123 @@
+//! A change of the claim window.
+
+use std::time::Duration;
+
+use claim::{Action, Ask, Boot, Cfg, Event, Fold, Key, Now, ReqId, Shard};
+use googletest::prelude::*;
+use wire::{Code, Fingerprint, InstanceId, Offset, Time, UnixMillis};
+
+const T: u64 = 1_800_000_000_000;
+
+fn at(s: u64) -> Now {
+    Now {
+        time: Time::from_millis(s * 1_000),
+        at: UnixMillis(T + s * 1_000),
+    }
+}
+
+/// A UUIDv7 of the second `s`.
+fn key(s: u64) -> Key {
+    let hex = format!("{:012x}", T + s * 1_000);
+    let text = format!("{}-{}-7000-8000-000000000001", &hex[..8], &hex[8..]);
+    Key::try_from(text.as_str()).expect("a valid key")
+}
+
+fn ask(shard: &mut Shard, s: u64, key_s: u64) -> Vec<Action> {
+    let ask = Ask {
+        req: ReqId(s),
+        key: key(key_s),
+        request: Fingerprint(1),
+        deadline: Time::from_millis(s * 1_000 + 500),
+    };
+    let mut actions = shard.handle(at(s), Event::Ask(ask));
+    let later = Now {
+        time: Time::from_millis(s * 1_000 + 5),
+        ..at(s)
+    };
+    actions.extend(shard.handle(later, Event::Tick));
+    actions
+}
+
+/// Lets the log take the appends at the end of the stream, and returns what follows from it.
+fn append(shard: &mut Shard, s: u64, actions: Vec<Action>) -> Vec<Action> {
+    let mut out = Vec::new();
+    for action in actions {
+        match action {
+            Action::Append { batch, .. } => {
+                let first = shard.read_from();
+                out.extend(shard.handle(at(s), Event::Appended { batch, first }));
+            }
+            other => out.push(other),
+        }
+    }
+    out
+}
+
+fn shard(window_s: u64) -> Shard {
+    let mut cfg = Cfg::new(InstanceId(1), Boot(1));
+    cfg.window = Duration::from_secs(window_s);
+    let mut shard = Shard::new(cfg, 1);
+    shard.handle(at(0), Event::End { end: Offset(0) });
+    shard
+}
+
+/// Guards against a second run of a key that has expired under a short window and is young enough
+/// for the longer one, also on a node that starts from a checkpoint.
+#[gtest]
+fn a_longer_window_frees_no_key() {
+    // (second of the repeat, second of its key, expired)
+    let cases = [
+        (80, 1, true),
+        (200, 1, true),
+        (200, 60, false),
+        (200, 190, false),
+    ];
+    for (s, key_s, expired) in cases {
+        let mut shard = shard(60);
+        let actions = ask(&mut shard, 1, 1);
+        let run = append(&mut shard, 1, actions);
+        assert_that!(run, contains(eq(&Action::Run(ReqId(1)))));
+        shard.handle(at(1), Event::Handed(ReqId(1)));
+        let finished = Event::Finished {
+            req: ReqId(1),
+            status: 200,
+            answer: Vec::new(),
+        };
+        shard.handle(at(1), finished);
+        let actions = shard.handle(at(2), Event::Tick);
+        append(&mut shard, 2, actions);
+        shard.set_window(Duration::from_secs(1_000));
+        // A later claim moves the clock of the fold.
+        let actions = ask(&mut shard, 78, 78);
+        append(&mut shard, 78, actions);
+        let refused = |actions: &[Action]| {
+            let code = Code::KeyExpired.into();
+            actions
+                .iter()
+                .any(|a| matches!(a, Action::Refuse { refusal, .. } if *refusal == code))
+        };
+        let actions = ask(&mut shard, s, key_s);
+        expect_that!(
+            refused(&actions),
+            eq(expired),
+            "{key_s} at {s}: {actions:?}"
+        );
+
+        let id = claim::ClaimId {
+            node: InstanceId(2),
+            boot: Boot(2),
+            n: 1,
+        };
+        let mut fold = Fold::waiting(shard.read_from());
+        for record in shard.fold().checkpoint(id) {
+            fold.apply(&record.encode());
+        }
+        expect_that!(fold.is_waiting(), eq(false));
+        let forgotten = fold.is_forgotten(&key(key_s), at(s).at);
+        expect_that!(
+            forgotten,
+            eq(expired),
+            "from the checkpoint: {key_s} at {s}"
+        );
+    }
+}
