--- a/tests/requests/drain.rs
+++ b/tests/requests/drain.rs
@@ -139,6 +139,20 @@
     }
 }
 
+/// More than the sockets on the way hold.
+const BIG: usize = 40_000_000;
+
+/// Pulls a long answer with a pause in the middle, and returns its size if it was whole.
+async fn pull_slowly(client: reqwest::Client, url: String) -> Option<usize> {
+    let mut res = client.get(url).send().await.ok()?;
+    let mut read = res.chunk().await.ok()??.len();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    while let Some(piece) = res.chunk().await.ok()? {
+        read += piece.len();
+    }
+    Some(read)
+}
+
 /// Guards against a shutdown that cuts requests, short ones or long ones, of callers that use other
 /// entry nodes.
 #[tokio::test(flavor = "multi_thread")]
@@ -149,12 +163,22 @@
     let short = get("/gauges/1?work_ms=5&bytes=2000");
     let long = get("/gauges/archive/1?work_ms=700&bytes=1000000");
     let short = Callers::start(&mesh, &entries, 2, &short, Duration::from_millis(10));
-    let long = Callers::start(&mesh, &entries, 1, &long, Duration::from_millis(10));
-    tokio::time::sleep(Duration::from_millis(900)).await;
+    let long = Callers::start(&mesh, &entries[..3], 1, &long, Duration::from_millis(10));
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let pulls: Vec<_> = (0..8)
+        .map(|n| {
+            let url = mesh.nodes[entries[n % 5]].url(&format!("/gauges/archive/{n}?bytes={BIG}"));
+            tokio::spawn(pull_slowly(mesh.client.clone(), url))
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
 
     mesh.nodes[victim].proc.as_ref().unwrap().signal("TERM");
     let exit = mesh.nodes[victim].proc.as_mut().unwrap();
     assert_eq!(exit.wait_exit(Duration::from_secs(10)), Some(0));
+    for pull in pulls {
+        assert_eq!(pull.await.unwrap(), Some(BIG));
+    }
     tokio::time::sleep(Duration::from_millis(500)).await;
     for (what, callers) in [("short", short), ("long", long)] {
         let (answered, failed) = callers.stop().await;
