Give each caller of the load a share of its own

The pulls go through an entry in the victim's failure domain, and the test checks that the victim has work when it gets the signal.

--- a/tests/requests/drain.rs
+++ b/tests/requests/drain.rs
@@ -25,14 +25,15 @@
         let stop = Arc::new(AtomicBool::new(false));
         let answered = Arc::new(AtomicUsize::new(0));
         let mut tasks = Vec::new();
-        for entry in entries.iter().copied().cycle().take(n * entries.len()) {
+        let entries = entries.iter().copied().cycle().take(n * entries.len());
+        for (i, entry) in entries.enumerate() {
             let url = mesh.nodes[entry].url(&call.path);
             let client = mesh.client.clone();
             let (stop, answered) = (stop.clone(), answered.clone());
             tasks.push(tokio::spawn(async move {
                 let mut failed = Vec::new();
                 while !stop.load(Ordering::SeqCst) {
-                    let reply = crate::support::get_url(&client, &url).await;
+                    let reply = crate::support::get_url(&client, &url, i).await;
                     match reply {
                         Some(r) if r.is_ok() => {
                             answered.fetch_add(1, Ordering::SeqCst);
@@ -143,8 +144,9 @@
 const BIG: usize = 40_000_000;
 
 /// Pulls a long answer with a pause in the middle, and returns its size if it was whole.
-async fn pull_slowly(client: reqwest::Client, url: String) -> Option<usize> {
-    let mut res = client.get(url).send().await.ok()?;
+async fn pull_slowly(client: reqwest::Client, url: String, n: usize) -> Option<usize> {
+    let req = client.get(url).header(wire::CALLER, format!("puller-{n}"));
+    let mut res = req.send().await.ok()?;
     let mut read = res.chunk().await.ok()??.len();
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     while let Some(piece) = res.chunk().await.ok()? {
@@ -167,11 +169,15 @@
     tokio::time::sleep(Duration::from_millis(600)).await;
     let pulls: Vec<_> = (0..8)
         .map(|n| {
-            let url = mesh.nodes[entries[n % 5]].url(&format!("/gauges/archive/{n}?bytes={BIG}"));
-            tokio::spawn(pull_slowly(mesh.client.clone(), url))
+            // The last entry is in the victim's failure domain, so it prefers the victim.
+            let entry = &mesh.nodes[if n < 4 { 5 } else { n - 2 }];
+            let url = entry.url(&format!("/gauges/archive/{n}?bytes={BIG}"));
+            tokio::spawn(pull_slowly(mesh.client.clone(), url, n))
         })
         .collect();
     tokio::time::sleep(Duration::from_millis(300)).await;
+    let load = mesh.state(victim).await.unwrap().load;
+    assert!(load.in_flight > 0, "nothing to cut");
 
     mesh.nodes[victim].proc.as_ref().unwrap().signal("TERM");
     let exit = mesh.nodes[victim].proc.as_mut().unwrap();
--- a/tests/requests/support.rs
+++ b/tests/requests/support.rs
@@ -156,9 +156,12 @@
     }
 }
 
-/// Sends a GET request; nothing is returned when no response head arrives.
-pub(crate) async fn get_url(client: &reqwest::Client, url: &str) -> Option<Reply> {
-    let res = client.get(url).send().await.ok()?;
+/// Sends a GET request of a caller with a share of its own; nothing is returned when no response head arrives.
+pub(crate) async fn get_url(client: &reqwest::Client, url: &str, caller: usize) -> Option<Reply> {
+    let req = client
+        .get(url)
+        .header(wire::CALLER, format!("caller-{caller}"));
+    let res = req.send().await.ok()?;
     Some(read_reply(res).await)
 }
 
