--- a/tests/requests/poison.rs
+++ b/tests/requests/poison.rs
@@ -19,6 +19,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_targets_is_stopped_after_two() {
     let mut mesh = mesh("poison", &[("ledger-view", 5), ("title-desk", 1)], "").await;
+    earn_retries(&mesh, "/casks/1").await;
     let poison = get("/casks/9?crash=true");
     let mut codes = Vec::new();
     for n in 0..24 {
