--- a/tests/requests/drain.rs
+++ b/tests/requests/drain.rs
@@ -148,7 +148,7 @@
     let req = client.get(url).header(wire::CALLER, format!("puller-{n}"));
     let mut res = req.send().await.ok()?;
     let mut read = res.chunk().await.ok()??.len();
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
     while let Some(piece) = res.chunk().await.ok()? {
         read += piece.len();
     }
