Move issued keys to a module and reserve the system's own paths

A request for /.briarlug/strike under a route for "/" would have reached the peers' listener as a strike (and failed there, without a code). Paths of the system now get 102 from callers, and a strike without a valid MAC gets 106. Trial without the check of the MAC: the forged strike is taken and the test fails.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -4,27 +4,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::Router;
 use axum::body::Body;
-use axum::extract::{ConnectInfo, Query, Request, State};
-use axum::http::{HeaderMap, HeaderValue, Method, Uri, header};
-use axum::response::{IntoResponse, Response};
+use axum::extract::{ConnectInfo, Request, State};
+use axum::http::{HeaderMap, HeaderValue, Method, header};
+use axum::response::Response;
 use axum::routing::post;
-use axum::{Json, Router};
 use claim::{IssuedKey, Key};
 use config::{Repeat, Route, Snapshot};
 use futures_util::StreamExt;
 use ops::{Metric, ParentContext, Span};
 use route::{Ask, Attempts, Failure, Kind, Outcome, RouteKey};
-use serde::Deserialize;
 use wire::{Code, Executed, Fingerprint, InstanceId, Refusal, Time};
 
 use crate::beside::{self, Hop};
 use crate::body::{End, Inbound, Reporting};
-use crate::claims::IssueKeys;
 use crate::headers::{HOP, HopMeta, sign_hop, strip_hop_by_hop, strip_own};
-use crate::problem;
 use crate::services::{Chosen, ServiceState};
 use crate::shared::{InProgress, Shared};
+use crate::{keys, problem};
 
 /// Lets the refusal of the node beside the target arrive before this node's own time-out.
 const DEADLINE_GRACE: Duration = Duration::from_millis(50);
@@ -34,46 +32,18 @@
 /// Bytes of a request's path, query and headers; well under what the peers' parser takes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
+/// Paths of this system, which no route of the text can take over: the peers' listener has some too.
+const OWN_PATHS: &str = "/.briarlug/";
+
 /// Routes of the callers' listener.
 pub(crate) fn router(shared: Arc<Shared>) -> Router {
     Router::new()
-        .route("/.briarlug/keys", post(issue_keys))
+        .route(keys::PATH, post(keys::issue))
         .fallback(handle)
+        .method_not_allowed_fallback(handle)
         .with_state(shared)
 }
 
-#[derive(Debug, Deserialize)]
-struct IssueParams {
-    #[serde(default = "one")]
-    count: usize,
-}
-
-fn one() -> usize {
-    1
-}
-
-/// Issues keys for the service of the target beside this node, at most [`claim::MAX_BLOCK`].
-async fn issue_keys(State(shared): State<Arc<Shared>>, uri: Uri) -> Response {
-    match try_issue_keys(&shared, &uri).await {
-        Ok(keys) => Json(keys).into_response(),
-        Err(refusal) => {
-            count_refusal(&shared, refusal.code);
-            problem::response(refusal)
-        }
-    }
-}
-
-async fn try_issue_keys(shared: &Shared, uri: &Uri) -> Result<Vec<String>, Refusal> {
-    shared.check_serving()?;
-    let Query(IssueParams { count }) = Query::try_from_uri(uri).map_err(|_| Code::BadHeader)?;
-    if !(1..=claim::MAX_BLOCK).contains(&count) {
-        return Err(Code::BadHeader.into());
-    }
-    let links = shared.links.get().ok_or(Code::NotReady)?;
-    let keys = links.claims.ask(IssueKeys(count)).await;
-    Ok(keys.map_err(|_| Code::ClaimUnavailable)?)
-}
-
 async fn handle(
     State(shared): State<Arc<Shared>>,
     ConnectInfo(from): ConnectInfo<SocketAddr>,
@@ -98,7 +68,7 @@
     }
 }
 
-fn count_refusal(shared: &Shared, code: Code) {
+pub(crate) fn count_refusal(shared: &Shared, code: Code) {
     let metric = match code.executed() {
         Some(Executed::No) => Metric::RefusedNo,
         _ => Metric::RefusedUnknown,
@@ -139,6 +109,9 @@
             .map_or("/", |p| p.as_str())
             .to_owned();
         check_head(&path, &parts.headers)?;
+        if path.starts_with(OWN_PATHS) {
+            return Err(Code::NoRoute.into());
+        }
         let route = snapshot
             .route_for(parts.method.as_str(), &path)
             .ok_or(Code::NoRoute)?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 //! - `node`: start and graceful shutdown.
 //! - `entry`: requests of callers. `peers`: requests of other nodes. `beside`: admission and
 //!   hand-over at the node beside the target. `claims`: requests that must not be repeated.
+//! - `keys`: keys for callers. `strikes`: what nodes tell each other of requests that crash targets.
 //! - `gossip`, `control`, `claims`: the actors round the state machines of `member`, `spread` and
 //!   `claim`.
 //! - `rpc`: transfers between nodes.
@@ -18,6 +19,7 @@
 mod gate;
 mod gossip;
 mod headers;
+mod keys;
 mod local;
 mod node;
 mod operator;
--- a/crates/node/src/strikes.rs
+++ b/crates/node/src/strikes.rs
@@ -9,12 +9,14 @@
 
 use axum::extract::State;
 use axum::http::{HeaderMap, Method, StatusCode};
+use axum::response::{IntoResponse, Response};
 use futures_util::future::join_all;
 use member::Record;
 use ops::Metric;
-use wire::{Fingerprint, InstanceId};
+use wire::{Code, Fingerprint, InstanceId};
 
 use crate::headers::{HOP, sign_hop, verify_hop};
+use crate::problem;
 use crate::shared::Shared;
 
 /// Path of a strike on the peers' listener.
@@ -51,20 +53,20 @@
 }
 
 /// Takes a strike of another node.
-pub(crate) async fn receive(State(shared): State<Arc<Shared>>, headers: HeaderMap) -> StatusCode {
+pub(crate) async fn receive(State(shared): State<Arc<Shared>>, headers: HeaderMap) -> Response {
     let text = |name: &str| headers.get(name)?.to_str().ok();
     let (Some(raw), Some(mac)) = (text(HOP), text(wire::HOP_MAC)) else {
-        return StatusCode::BAD_REQUEST;
+        return problem::response(Code::BadHeader.into());
     };
     if !verify_hop(&shared.settings.keys, &Method::POST, PATH, raw, mac) {
         shared.metrics.count(Metric::DroppedBadMac);
-        return StatusCode::BAD_REQUEST;
+        return problem::response(Code::BadHeader.into());
     }
     let Some((fp, instance, boot)) = decode(raw) else {
-        return StatusCode::BAD_REQUEST;
+        return problem::response(Code::BadHeader.into());
     };
     shared.count_strike(fp, instance, boot);
-    StatusCode::NO_CONTENT
+    StatusCode::NO_CONTENT.into_response()
 }
 
 fn decode(raw: &str) -> Option<(Fingerprint, InstanceId, u64)> {
--- a/tests/requests/hostile.rs
+++ b/tests/requests/hostile.rs
@@ -133,11 +133,28 @@
             "400",
             Some(106),
         ),
+        (
+            CALLERS,
+            head("POST /.briarlug/strike", ""),
+            "404",
+            Some(102),
+        ),
+        (CALLERS, head("GET /.briarlug/keys", ""), "404", Some(102)),
         // The parser of the HTTP library refuses these itself.
         (CALLERS, keyed(&far_too_many), "431", None),
         (CALLERS, keyed(&format!("x: {huge}\r\n")), "431", None),
         (CALLERS, "\u{0}\u{1}garbage\r\n\r\n".to_owned(), "400", None),
         (CALLERS, keyed("content-length: 9\r\n"), "400", None),
+        (PEERS, head("POST /.briarlug/strike", ""), "400", Some(106)),
+        (
+            PEERS,
+            head(
+                "POST /.briarlug/strike",
+                &format!("briarlug-hop: 1;1;1\r\nbriarlug-hop-mac: {mac}\r\n"),
+            ),
+            "400",
+            Some(106),
+        ),
         (PEERS, post(key), "400", Some(106)),
         (PEERS, hop(&format!("{HOP}\r\n")), "400", Some(106)),
         (
