Build the answers of the stand-in target from one buffer

sigterm_under_load_cuts_nothing failed in 1 of 10 runs (load average 38 on 10 cores): 3 of 950 short requests got 302, that is, an answer took over 500 ms. The stand-in filled the three answers of 120 MB piece by piece before the first byte was sent, on the threads that serve the short requests. That this caused the delay is likely but was not traced. All pieces share one buffer now; 6 of 6 runs of the tests `requests` passed at a load average of 45 (7.5 to 8.9 s).

--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -272,9 +272,11 @@
     let head = Bytes::from(head);
     push(head.slice(..left.min(head.len())));
     left = left.saturating_sub(head.len());
+    // All pieces share one buffer: filling a large answer would stall the other requests.
+    let chunk = Bytes::from(vec![b'x'; left.min(CHUNK_BYTES)]);
     while left > 0 {
         let n = left.min(CHUNK_BYTES);
-        push(Bytes::from(vec![b'x'; n]));
+        push(chunk.slice(..n));
         left -= n;
     }
     if params.cut {
