--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -9,25 +9,39 @@
 use axum::extract::{ConnectInfo, Request, State};
 use axum::http::{HeaderMap, HeaderValue, Method, header};
 use axum::response::Response;
+use axum::routing::post;
+use claim::{IssuedKey, Key};
 use config::{Repeat, Route, Snapshot};
 use futures_util::StreamExt;
 use ops::{Metric, ParentContext, Span};
 use route::{Ask, Attempts, Failure, Kind, Outcome, RouteKey};
-use wire::{Code, Executed, Fingerprint, Refusal, Time};
+use wire::{Code, Executed, Fingerprint, InstanceId, Refusal, Time};
 
 use crate::beside::{self, Hop};
 use crate::body::{End, Inbound, Reporting};
 use crate::headers::{HOP, HopMeta, sign_hop, strip_hop_by_hop, strip_own};
-use crate::problem;
 use crate::services::{Chosen, ServiceState};
 use crate::shared::{InProgress, Shared};
+use crate::{keys, problem};
 
 /// Lets the refusal of the node beside the target arrive before this node's own time-out.
 const DEADLINE_GRACE: Duration = Duration::from_millis(50);
 
+/// Headers of a request. The nodes add some, and an HTTP parser takes 100 at most.
+const MAX_HEADERS: usize = 64;
+/// Bytes of a request's path, query and headers; well under what the peers' parser takes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
+/// Paths of this system, which no route of the text can take over: the peers' listener has some too.
+const OWN_PATHS: &str = "/.briarlug/";
+
 /// Routes of the callers' listener.
 pub(crate) fn router(shared: Arc<Shared>) -> Router {
-    Router::new().fallback(handle).with_state(shared)
+    Router::new()
+        .route(keys::PATH, post(keys::issue))
+        .fallback(handle)
+        .method_not_allowed_fallback(handle)
+        .with_state(shared)
 }
 
 async fn handle(
@@ -54,7 +68,7 @@
     }
 }
 
-fn count_refusal(shared: &Shared, code: Code) {
+pub(crate) fn count_refusal(shared: &Shared, code: Code) {
     let metric = match code.executed() {
         Some(Executed::No) => Metric::RefusedNo,
         _ => Metric::RefusedUnknown,
@@ -94,6 +108,10 @@
             .path_and_query()
             .map_or("/", |p| p.as_str())
             .to_owned();
+        check_head(&path, &parts.headers)?;
+        if path.starts_with(OWN_PATHS) {
+            return Err(Code::NoRoute.into());
+        }
         let route = snapshot
             .route_for(parts.method.as_str(), &path)
             .ok_or(Code::NoRoute)?;
@@ -104,11 +122,20 @@
         let now = shared.clock.now();
         let deadline = now + time_allowed(&parts.headers, route)?;
         let key = text(&parts.headers, "idempotency-key").map(str::to_owned);
-        if route.repeat == Repeat::Never && key.is_none() {
-            return Err(Code::KeyMissing.into());
+        if route.repeat == Repeat::Never {
+            let key = key.as_deref().ok_or(Code::KeyMissing)?;
+            Key::try_from(key).map_err(|_| Code::BadHeader)?;
         }
         let body = read_body(shared, body, deadline).await?;
-        let fingerprint = fingerprint(&parts.method, &path, route, key.as_deref(), &body);
+        let length = body_length(&parts.headers, &body);
+        let fingerprint = Fingerprint::of(&[
+            route.service.0.as_bytes(),
+            parts.method.as_str().as_bytes(),
+            path.as_bytes(),
+            key.as_deref().unwrap_or_default().as_bytes(),
+            &length.to_le_bytes(),
+            body.head(),
+        ]);
         if shared.is_quarantined(fingerprint) {
             return Err(Code::Quarantined.into());
         }
@@ -146,6 +173,9 @@
     }
 
     async fn run(mut self) -> Result<Answer, Refusal> {
+        if let Some(instance) = self.issuer() {
+            return self.run_at(instance).await;
+        }
         let idempotent = self.meta.repeat == Repeat::Safe;
         let route = RouteKey(self.meta.route);
         let mut attempts = Attempts::new(idempotent);
@@ -170,7 +200,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
-            refusal = failed.refusal;
+            refusal = overall(refusal, failed.refusal);
             let failure = Failure {
                 kind: failed.kind,
                 from_below: false,
@@ -188,18 +218,51 @@
             }
             if self.shared.is_quarantined(self.meta.fingerprint) {
                 self.service.refund_retry();
-                return Err(Code::Quarantined.into());
+                return Err(overall(refusal, Code::Quarantined.into()));
             }
             self.shared.metrics.count(Metric::Retries);
         }
     }
 
+    /// Returns the instance that issued the request's key, if a node did.
+    fn issuer(&self) -> Option<InstanceId> {
+        if self.meta.repeat == Repeat::Safe {
+            return None;
+        }
+        let key: IssuedKey = self.key.as_deref()?.parse().ok()?;
+        Some(key.instance)
+    }
+
+    /// Sends the request to the only instance that may run it.
+    ///
+    /// An earlier request with the key may have run there, so if the instance can't be asked the
+    /// outcome is unknown.
+    async fn run_at(mut self, instance: InstanceId) -> Result<Answer, Refusal> {
+        let route = RouteKey(self.meta.route);
+        let members = self.shared.members.load();
+        let record = members.get(&instance);
+        let addr = record
+            .filter(|r| r.service == self.meta.service)
+            .map(|r| r.data)
+            .ok_or(Code::OutcomeUnknown)?;
+        drop(members);
+        let chosen = self
+            .service
+            .begin_at(self.shared.clock.now(), instance, addr, route);
+        let reply = self.attempt(chosen, 1).await;
+        reply.map_err(|failed| match failed.kind {
+            Kind::ConnectFailed => Code::OutcomeUnknown.into(),
+            _ => failed.refusal,
+        })
+    }
+
     /// Sends the request to `chosen` and, if that takes unusually long, to one more instance.
     async fn send_hedged(
         &mut self,
         chosen: Chosen,
         attempts: &mut Attempts,
     ) -> Result<Answer, Failed> {
+        let began = self.shared.clock.now();
         let first = self.attempt(chosen, attempts.tried().len());
         let route = RouteKey(self.meta.route);
         let delay = self.service.hedge_delay(route).filter(|_| self.hedge);
@@ -226,7 +289,14 @@
         attempts.add(second.pick.id);
         self.shared.metrics.count(Metric::Hedges);
         let second = Box::pin(self.attempt(second, attempts.tried().len()));
-        first_whole(first, second).await
+        let (reply, overtaken) = first_whole(first, second).await;
+        if overtaken {
+            // Without the age of what was overtaken, hedges would hide the tail from which their
+            // delay is learned.
+            let age = self.shared.clock.now() - began;
+            self.service.observe(route, age);
+        }
+        reply
     }
 
     /// Starts one attempt. The future holds all that it needs, so two can run side by side.
@@ -241,7 +311,9 @@
             service: self.service.clone(),
             chosen,
             route: RouteKey(self.meta.route),
+            fingerprint: self.meta.fingerprint,
             began: now,
+            is_first: number == 1,
             done: false,
         };
         let mut meta = self.meta.clone();
@@ -260,11 +332,13 @@
             },
             key: self.key.clone(),
             parent: self.parent.clone(),
+            strike: Arc::default(),
         };
         let shared = self.shared.clone();
+        let is_head = self.method == Method::HEAD;
         async move {
             if chosen.pick.id == shared.id {
-                guard.local(beside::serve(&shared, hop).await)
+                guard.local(beside::serve(&shared, hop).await, is_head)
             } else {
                 guard.remote(send(&shared, chosen.addr, hop).await)
             }
@@ -272,16 +346,18 @@
     }
 }
 
-/// Returns the first answer, or the second failure if both fail.
+/// Returns the first answer, or the second failure if both fail, and whether the second future
+/// has overtaken the first one.
 async fn first_whole(
     first: impl Future<Output = Result<Answer, Failed>> + Unpin,
     second: impl Future<Output = Result<Answer, Failed>> + Unpin,
-) -> Result<Answer, Failed> {
+) -> (Result<Answer, Failed>, bool) {
     use futures_util::future::{Either, select};
     match select(first, second).await {
-        Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => Ok(answer),
-        Either::Left((Err(_), other)) => other.await,
-        Either::Right((Err(_), other)) => other.await,
+        Either::Left((Ok(answer), _)) => (Ok(answer), false),
+        Either::Right((Ok(answer), _)) => (Ok(answer), true),
+        Either::Left((Err(lost), other)) => (other.await.map_err(|f| f.after(lost)), false),
+        Either::Right((Err(lost), other)) => (other.await.map_err(|f| f.after(lost)), false),
     }
 }
 
@@ -328,21 +404,45 @@
     refusal: Refusal,
 }
 
+impl Failed {
+    fn after(self, earlier: Failed) -> Failed {
+        Failed {
+            refusal: overall(earlier.refusal, self.refusal),
+            ..self
+        }
+    }
+}
+
+/// Returns the refusal for a request whose attempts ended with `earlier` and then `later`. One
+/// attempt that may have run is enough for the request to have run.
+fn overall(earlier: Refusal, later: Refusal) -> Refusal {
+    if earlier.code.executed() == Some(Executed::No) {
+        later
+    } else {
+        earlier
+    }
+}
+
 /// An attempt in flight; one that is dropped counts as overtaken or cancelled.
 struct InFlight {
     shared: Arc<Shared>,
     service: Arc<ServiceState>,
     chosen: Chosen,
     route: RouteKey,
+    fingerprint: Fingerprint,
     began: Time,
+    /// Whether the latency counts for the delay of hedges, whose own latencies don't.
+    is_first: bool,
     done: bool,
 }
 
 impl InFlight {
-    fn local(self, res: Response) -> Result<Answer, Failed> {
+    fn local(self, res: Response, is_head: bool) -> Result<Answer, Failed> {
         let (parts, body) = res.into_parts();
-        let length = http_body_util::BodyExt::into_data_stream(body);
-        self.classify(parts.status, parts.headers, None, Source::Local(length))
+        let declared = text(&parts.headers, "content-length").and_then(|v| v.parse().ok());
+        let length = if is_head { Some(0) } else { declared };
+        let body = http_body_util::BodyExt::into_data_stream(body);
+        self.classify(parts.status, parts.headers, length, Source::Local(body))
     }
 
     fn remote(mut self, sent: Sent) -> Result<Answer, Failed> {
@@ -378,6 +478,11 @@
                 code => Kind::Refused(code),
             };
             self.finish(Outcome { kind, load });
+            // Gossip may bring the strike only after the retry has killed a third target.
+            if let Some(boot) = problem::strike_of(&headers) {
+                self.shared
+                    .count_strike(self.fingerprint, self.chosen.pick.id, boot);
+            }
             let retry_after = problem::retry_after_of(&headers);
             return Err(Failed {
                 kind,
@@ -401,7 +506,7 @@
     fn finish(&mut self, outcome: Outcome) {
         self.done = true;
         let now = self.shared.clock.now();
-        if outcome.kind == Kind::Ok {
+        if outcome.kind == Kind::Ok && self.is_first {
             self.service.observe(self.route, now - self.began);
         }
         self.service.end(now, self.chosen.ticket, outcome);
@@ -445,6 +550,9 @@
                 End::Dropped => (Kind::Cancelled, Metric::Cancelled),
             };
             shared.metrics.count(metric);
+            if end == End::Whole {
+                shared.clear_strikes(in_flight.fingerprint);
+            }
             in_flight.finish(Outcome { kind, load });
         };
         *res.body_mut() = match self.source {
@@ -489,21 +597,27 @@
     }
 }
 
-fn fingerprint(
-    method: &Method,
-    path: &str,
-    route: &Route,
-    key: Option<&str>,
-    body: &Inbound,
-) -> Fingerprint {
-    Fingerprint::of(&[
-        route.service.0.as_bytes(),
-        method.as_str().as_bytes(),
-        path.as_bytes(),
-        key.unwrap_or_default().as_bytes(),
-        &(body.prefix.len() as u64).to_le_bytes(),
-        body.head(),
-    ])
+/// Returns the length of a request's body. The part that was read of a long body varies with the
+/// sizes of the pieces in which it arrived, so it must not take part in the fingerprint.
+fn body_length(headers: &HeaderMap, body: &Inbound) -> u64 {
+    if body.rest.is_none() {
+        return body.prefix.len() as u64;
+    }
+    let declared = text(headers, "content-length").and_then(|v| v.parse().ok());
+    declared.unwrap_or(u64::MAX)
+}
+
+/// Refuses a head that another hop might not take, or that two hops might read differently.
+fn check_head(path: &str, headers: &HeaderMap) -> Result<(), Code> {
+    let line =
+        |(name, value): (&header::HeaderName, &HeaderValue)| name.as_str().len() + value.len();
+    let bytes = path.len() + headers.iter().map(line).sum::<usize>();
+    let single = [wire::TIMEOUT_MS, wire::CALLER, "idempotency-key"];
+    let is_single = |name: &&str| headers.get_all(*name).iter().count() <= 1;
+    if headers.len() > MAX_HEADERS || bytes > MAX_HEAD_BYTES || !single.iter().all(is_single) {
+        return Err(Code::BadHeader);
+    }
+    Ok(())
 }
 
 fn insert(headers: &mut HeaderMap, name: &'static str, value: &str) {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -192,17 +192,42 @@
     pub(crate) fn refresh_instances(&self) {
         let members = self.members.load();
         let fresh = self.fresh.load();
-        let instance = |r: &Record| crate::gossip::instance(r, fresh.contains(&r.id));
+        // The own state is known here before membership has it.
+        let own_state = self.own_state();
+        let current = |r: &Record| match r.id == self.id {
+            true => Record {
+                state: own_state,
+                ..r.clone()
+            },
+            false => r.clone(),
+        };
+        let instance = |r: &Record| crate::gossip::instance(&current(r), fresh.contains(&r.id));
         let instances: Vec<_> = members.values().map(instance).collect();
         self.services.set_instances(self.clock.now(), &instances);
         self.metrics.set(Metric::Members, members.len() as u64);
     }
 
+    /// Returns the state of the own instance.
+    pub(crate) fn own_state(&self) -> member::State {
+        match self.target.phase(self.clock.now()) {
+            _ if self.is_draining() => member::State::Draining,
+            Phase::Draining => member::State::Draining,
+            Phase::Up if self.is_ready() => member::State::Ready,
+            _ => member::State::Starting,
+        }
+    }
+
+    /// Acts on a change of the own instance's state.
+    pub(crate) fn own_state_changed(&self) {
+        self.refresh_instances();
+        self.local_changed.notify_one();
+    }
+
     pub(crate) fn set_ready(&self, ready: bool) {
         if self.ready.swap(ready, Ordering::SeqCst) != ready {
             log::info!("node ready={ready} version={}", self.snapshot().version());
             self.metrics.set(Metric::Ready, u64::from(ready));
-            self.local_changed.notify_one();
+            self.own_state_changed();
         }
     }
 
@@ -213,7 +238,7 @@
     pub(crate) fn start_draining(&self) {
         self.draining.store(true, Ordering::SeqCst);
         self.gate.drain();
-        self.local_changed.notify_one();
+        self.own_state_changed();
     }
 
     pub(crate) fn is_draining(&self) -> bool {
@@ -268,8 +293,7 @@
     }
 
     /// Counts a strike of the target beside this node and tells the mesh.
-    pub(crate) async fn strike(&self, fp: Fingerprint) {
-        let boot = self.target.boot();
+    pub(crate) async fn strike(&self, fp: Fingerprint, boot: u64) {
         self.count_strike(fp, self.id, boot);
         if let Some(links) = self.links.get() {
             let rumour = member::Rumour::Strike {
@@ -298,7 +322,7 @@
         if self.target.phase(self.clock.now()) == Phase::Up {
             log::warn!("target lost");
             self.target.set_phase(Phase::Down);
-            self.local_changed.notify_one();
+            self.own_state_changed();
         }
     }
 }
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -74,7 +74,8 @@
     }
 
     /// Takes an announcement. A target that drains stays so until it leaves or moves.
-    pub(crate) fn announce(&self, now: Time, addr: SocketAddr) {
+    /// Returns whether a new life began.
+    pub(crate) fn announce(&self, now: Time, addr: SocketAddr) -> bool {
         let mut known = self.known.lock();
         let next = match *known {
             Some(k) if k.addr == addr && k.phase != Phase::Down => Known { seen: now, ..k },
@@ -85,7 +86,9 @@
                 boot: old.map_or(1, |k| k.boot + 1),
             },
         };
+        let is_new = known.is_none_or(|k| k.boot != next.boot);
         *known = Some(next);
+        is_new
     }
 
     pub(crate) fn set_phase(&self, phase: Phase) {
@@ -127,12 +130,14 @@
         );
     }
     let before = shared.target.phase(shared.clock.now());
-    shared.target.announce(shared.clock.now(), body.addr);
-    if before == Phase::Down {
+    // A target that takes the place of a draining one must not inherit the drain.
+    if shared.target.announce(shared.clock.now(), body.addr) {
         log::info!("target up addr={}", body.addr);
         shared.gate.resume();
     }
-    shared.local_changed.notify_one();
+    if before != shared.target.phase(shared.clock.now()) {
+        shared.own_state_changed();
+    }
     (StatusCode::OK, String::new())
 }
 
@@ -140,13 +145,13 @@
     log::info!("target draining");
     shared.target.set_phase(Phase::Draining);
     shared.gate.drain();
-    shared.local_changed.notify_one();
+    shared.own_state_changed();
     StatusCode::OK
 }
 
 async fn leave(State(shared): State<Arc<Shared>>) -> StatusCode {
     log::info!("target left");
     shared.target.set_phase(Phase::Down);
-    shared.local_changed.notify_one();
+    shared.own_state_changed();
     StatusCode::OK
 }
