Use the picker of the route crate in the queueing cases

The cases head_of_line and crest chose targets with a function of their own, which ignored requests older than 32 ms, retried only refusals that came within 4 ms, and read no load reports. Now each entry node has its own Picker and RetryBudget in its failure domain, and each answer carries Admission::load(). The cases have no hedged route, so Hedge takes no part.

The baseline now has one policy per difference: round robin, least connections, first in first out, no queue limit, and retries after each timeout with at most 5 attempts.

--- a/crates/bench/src/crest.rs
+++ b/crates/bench/src/crest.rs
@@ -67,10 +67,7 @@
 }
 
 fn report(name: &str, seen: &Seen, policy: Policy) -> Vec<Figure> {
-    let bound = |b| match policy {
-        Policy::Admit(_) => b,
-        Policy::Open | Policy::Plain => Bound::None,
-    };
+    let bound = |b| if policy.bounded { b } else { Bound::None };
     let f = |what, value, unit, b| Figure::new(format!("{name}.{what}"), value, unit, bound(b));
     let tenth = Bound::AtMost(0.1);
     vec![
--- a/crates/bench/src/head_of_line.rs
+++ b/crates/bench/src/head_of_line.rs
@@ -85,10 +85,7 @@
 }
 
 fn report(name: &str, variant: Variant, seen: &Seen, policy: Policy) -> Vec<Figure> {
-    let bound = |b| match policy {
-        Policy::Admit(_) => b,
-        Policy::Open | Policy::Plain => Bound::None,
-    };
+    let bound = |b| if policy.bounded { b } else { Bound::None };
     let f = |what, value, unit, b| Figure::new(format!("{name}.{what}"), value, unit, bound(b));
     let ratio = Bound::AtMost(MAX_RATIO);
     let mut figures = vec![
@@ -129,7 +126,7 @@
     case.kinds.truncate(ARCHIVE);
     let alone = run_case(&case);
     // The reference must not be slowed by admission itself, which would hide its faults.
-    case.policy = Policy::Open;
+    case.policy = Policy::open();
     let open = run_case(&case);
     let reference = |kind| p99_of(&alone, kind).min(p99_of(&open, kind));
     let ratio = |kind| p99_of(&mixed, kind) / reference(kind);
--- a/crates/bench/src/queue_chain.rs
+++ b/crates/bench/src/queue_chain.rs
@@ -36,9 +36,10 @@
         seed,
     };
     let outcome = run_case(&case);
-    let bound = match policy {
-        Policy::Admit(_) => Bound::AtMost(1.1),
-        Policy::Open | Policy::Plain => Bound::None,
+    let bound = if policy.bounded {
+        Bound::AtMost(1.1)
+    } else {
+        Bound::None
     };
     let name = |what| format!("crest{suffix}.chain.{what}");
     vec![
--- a/crates/bench/src/queue_model.rs
+++ b/crates/bench/src/queue_model.rs
@@ -1,19 +1,20 @@
 //! The model of the queueing cases: entry nodes, hops, and a node beside each target.
 //!
 //! A request enters at one of several entry nodes, goes to a target of the first service, and from
-//! there on to a target of each further service. A hop's slot is held for the hop's own work. Load
-//! reports aren't modelled as an input: neither admission nor the choice of a target reads them,
-//! so late and wrong reports change nothing.
+//! there on to a target of each further service. A hop's slot is held for the hop's own work. Each
+//! answer carries the load of its target at the time it was sent. Entry nodes aren't told that a
+//! target was restarted, which is the harder case.
 
 use std::time::Duration;
 
 use admit::{Admission, Event, Finish, Key, Limits, Offer, Tuning, Verdict};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use wire::Time;
+use route::{Attempts, Kind as Ending, RouteKey, Ticket};
+use wire::{InstanceId, Load, Time};
 
 use crate::queue_load::{Kind, Source};
-use crate::queue_pick::{Pick, pick};
+use crate::queue_pick::{Entry, Pick};
 use crate::queue_target::{Target, TargetCfg};
 use crate::schedule::Schedule;
 
@@ -23,30 +24,50 @@
 const CONNECT: Duration = Duration::from_millis(1);
 /// Nodes through which requests enter.
 const ENTRIES: usize = 4;
-/// An entry doesn't count its requests in flight beyond this age, eight times the mean of a lookup
-/// on a middling target. Requests that wait or run this long are long work, which says nothing
-/// about the wait of short work.
-const COUNTED_AGE: Duration = Duration::from_millis(32);
-/// Instances that a request is sent to at most.
-const MAX_ATTEMPTS: u32 = 3;
-/// Retries per first attempt.
-const RETRY_BUDGET: f64 = 0.1;
-/// Retries that an idle node saves up.
-const RETRY_BURST: f64 = 10.0;
-/// A refusal that took longer than this isn't followed by a retry, so that the second refusal
-/// still reaches the caller in time.
-const RETRY_WITHIN: Duration = Duration::from_millis(4);
+/// Distance between the seeds of two hops' entry nodes.
+const ENTRIES_APART: usize = 100;
+/// Which failed attempts are tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Retries {
+    /// Refusals, within the budget of the route crate.
+    Budget,
+    None,
+    /// The caller sends the request again after each deadline, up to this many attempts.
+    AfterTimeout(u32),
+}
 
 /// What decides at the target and at the entry.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum Policy {
-    /// Admission, two random choices, retries within a budget.
-    Admit(Tuning),
+pub(crate) struct Policy {
+    pub(crate) pick: Pick,
+    /// Parameters of the admission; without, there is no limit before the target's queue.
+    pub(crate) admission: Option<Tuning>,
+    pub(crate) retries: Retries,
+    /// Whether the bounds apply; other policies are for comparison.
+    pub(crate) bounded: bool,
+}
+
+impl Policy {
+    /// The policy of the product.
+    pub(crate) fn ours() -> Policy {
+        Policy {
+            pick: Pick::Route,
+            admission: Some(Tuning::default()),
+            retries: Retries::Budget,
+            bounded: true,
+        }
+    }
+
     /// No limit before the target's queue, two random choices, no retries: the best that targets
     /// do without admission when they aren't overloaded.
-    Open,
-    /// No limit before the target's queue, round robin, a retry after each timeout.
-    Plain,
+    pub(crate) fn open() -> Policy {
+        Policy {
+            pick: Pick::TwoChoices,
+            admission: None,
+            retries: Retries::None,
+            bounded: false,
+        }
+    }
 }
 
 /// A case.
@@ -83,6 +104,7 @@
     work: u64,
     hop: usize,
     entry: usize,
+    tried: Attempts,
     tries: u32,
 }
 
@@ -128,12 +150,10 @@
     /// A target's slot is free again.
     Served(usize),
     /// The answer of an attempt reaches the node that sent it.
-    Answer(usize, End),
+    Answer(usize, Ending, Option<Load>),
     Wake(usize, usize),
-    /// The caller of a plain entry gives up an attempt.
+    /// The caller of a policy without refusals gives up an attempt.
     Timeout(usize),
-    /// An attempt has been in flight for [`COUNTED_AGE`].
-    Aged(usize),
     /// A target was restarted and is cold.
     Restart(usize, usize),
 }
@@ -145,8 +165,7 @@
     entry: usize,
     target: usize,
     key: Option<Key>,
-    /// Whether the entry counts it for its choices.
-    counted: bool,
+    ticket: Ticket,
 }
 
 #[derive(Debug)]
@@ -160,21 +179,9 @@
     wake: Option<Time>,
 }
 
-/// A node that sends requests to the targets of one hop.
-#[derive(Clone, Debug)]
-struct Entry {
-    /// Requests that hold a connection.
-    in_flight: Vec<u32>,
-    /// Those of them that count for the choice of a target.
-    counted: Vec<u32>,
-    connections: Vec<u32>,
-    turn: usize,
-    retries: f64,
-}
-
 #[derive(Debug)]
 struct Model {
-    plain: bool,
+    retries: Retries,
     sources: Vec<Source>,
     nodes: Vec<Vec<Node>>,
     entries: Vec<Vec<Entry>>,
@@ -207,9 +214,13 @@
             .map(|h| h.iter().map(node).collect())
             .collect();
         let mut above = ENTRIES;
-        let mut entries = Vec::new();
+        let mut entries: Vec<Vec<Entry>> = Vec::new();
         for hop in &case.hops {
-            entries.push(vec![Entry::new(hop.len()); above]);
+            let slots: Vec<u32> = hop.iter().map(|t| t.declared).collect();
+            let seed = |i| case.seed * 10_000 + (entries.len() * ENTRIES_APART + i) as u64;
+            let entry = |i| Entry::new(case.policy.pick, i, &slots, seed(i));
+            let row = (0..above).map(entry).collect();
+            entries.push(row);
             above = hop.len();
         }
         let source = |(i, k): (usize, &Kind)| {
@@ -219,7 +230,7 @@
             )
         };
         let mut model = Model {
-            plain: matches!(case.policy, Policy::Plain),
+            retries: case.policy.retries,
             sources: case.kinds.iter().enumerate().map(source).collect(),
             hops: vec![HopCount::default(); nodes.len()],
             nodes,
@@ -248,13 +259,14 @@
             Step::Arrive(kind) => self.arrive(now, kind),
             Step::Reach(attempt) => self.reach(now, attempt),
             Step::Served(attempt) => self.served(now, attempt),
-            Step::Answer(attempt, end) => self.answer(now, attempt, end),
+            Step::Answer(attempt, end, load) => {
+                self.answer(now, attempt, route::Outcome { kind: end, load })
+            }
             Step::Wake(hop, target) => {
                 self.nodes[hop][target].wake = None;
                 self.poll(now, hop, target);
             }
             Step::Timeout(request) => self.timeout(now, request),
-            Step::Aged(attempt) => self.uncount(attempt),
             Step::Restart(hop, target) => self.restart(now, hop, target),
         }
     }
@@ -280,6 +292,7 @@
             work: drawn.work,
             hop: 0,
             entry,
+            tried: Attempts::default(),
             tries: 0,
         });
         self.call(now, self.requests.len() - 1);
@@ -290,47 +303,44 @@
     fn call(&mut self, now: Time, request: usize) {
         let r = &mut self.requests[request];
         r.tries = 0;
+        r.tried = Attempts::new(true);
         let (hop, entry) = (r.hop, r.entry);
         self.hops[hop].calls += 1;
-        let e = &mut self.entries[hop][entry];
-        e.retries = (e.retries + RETRY_BUDGET).min(RETRY_BURST);
-        self.attempt(now, request, None);
+        self.entries[hop][entry].request(now);
+        self.attempt(now, request);
     }
 
-    fn attempt(&mut self, now: Time, request: usize, avoid: Option<usize>) {
+    /// Sends a request to a target. Returns `false` if none is left for it.
+    fn attempt(&mut self, now: Time, request: usize) -> bool {
         let r = &mut self.requests[request];
-        r.tries += 1;
         let (hop, entry) = (r.hop, r.entry);
-        self.hops[hop].attempts += 1;
-        let how = if self.plain {
-            Pick::RoundRobin
-        } else {
-            Pick::TwoChoices
-        };
         let e = &mut self.entries[hop][entry];
-        let target = pick(how, &e.counted, avoid, &mut e.turn, &mut self.rng);
-        e.in_flight[target] += 1;
-        e.counted[target] += 1;
-        let mut delay = HOP;
-        if e.in_flight[target] > e.connections[target] {
-            e.connections[target] += 1;
-            delay += CONNECT;
-        }
+        let Some(target) = e.pick(now, &r.tried, &mut self.rng) else {
+            return false;
+        };
+        r.tries += 1;
+        r.tried.add(InstanceId(target as u64));
+        self.hops[hop].attempts += 1;
+        let kind = &self.sources[r.kind].kind;
+        let (ticket, opens) = e.begin(now, target, RouteKey(kind.route));
+        let delay = if opens { HOP + CONNECT } else { HOP };
         self.attempts.push(Attempt {
             request,
             hop,
             entry,
             target,
             key: None,
-            counted: true,
+            ticket,
         });
         let id = self.attempts.len() - 1;
-        self.schedule.push(now + COUNTED_AGE, Step::Aged(id));
         self.schedule.push(now + delay, Step::Reach(id));
-        if self.plain {
-            let timeout = self.sources[self.requests[request].kind].kind.deadline;
-            self.schedule.push(now + timeout, Step::Timeout(request));
+        if let Retries::AfterTimeout(most) = self.retries
+            && r.tries < most
+        {
+            self.schedule
+                .push(now + kind.deadline, Step::Timeout(request));
         }
+        true
     }
 
     fn reach(&mut self, now: Time, id: usize) {
@@ -363,9 +373,11 @@
                 self.attempts[id].key = Some(key);
                 node.by_key.insert(key, id);
             }
-            Verdict::Refuse(_) => self
-                .schedule
-                .push(now + HOP, Step::Answer(id, End::Refused)),
+            Verdict::Refuse(r) => {
+                let load = Some(admission.load());
+                let end = Ending::Refused(r.code);
+                self.schedule.push(now + HOP, Step::Answer(id, end, load));
+            }
         }
         self.poll(now, hop, target);
     }
@@ -395,7 +407,9 @@
             node.by_key.remove(key);
             admission.finish(now, key, Finish { ok: true });
         }
-        self.schedule.push(now + HOP, Step::Answer(id, End::Done));
+        let load = node.admission.as_ref().map(Admission::load);
+        self.schedule
+            .push(now + HOP, Step::Answer(id, Ending::Ok, load));
         self.poll(now, hop, target);
         self.begin(now, hop, target);
     }
@@ -420,52 +434,59 @@
                     let id = node.by_key[key];
                     self.hand_over(now, id);
                 }
-                Event::Refuse(key, _) => {
+                Event::Refuse(key, refusal) => {
                     let id = node.by_key.remove(key).expect("a refused key is known");
-                    self.schedule
-                        .push(now + HOP, Step::Answer(id, End::Refused));
+                    let load = node.admission.as_ref().map(Admission::load);
+                    let end = Ending::Refused(refusal.code);
+                    self.schedule.push(now + HOP, Step::Answer(id, end, load));
                 }
             }
         }
     }
 
-    fn uncount(&mut self, id: usize) {
-        let a = &mut self.attempts[id];
-        if std::mem::take(&mut a.counted) {
-            self.entries[a.hop][a.entry].counted[a.target] -= 1;
-        }
-    }
-
-    fn answer(&mut self, now: Time, id: usize, end: End) {
-        self.uncount(id);
+    fn answer(&mut self, now: Time, id: usize, outcome: route::Outcome) {
         let Attempt {
             hop,
             entry,
             target,
             request,
+            ticket,
             ..
         } = self.attempts[id];
         let e = &mut self.entries[hop][entry];
-        e.in_flight[target] -= 1;
+        e.end(now, target, ticket, outcome);
         let last_hop = hop + 1 == self.hops.len();
         let r = &mut self.requests[request];
         if r.end.is_some() || r.hop != hop {
             return;
         }
-        if end == End::Done && !last_hop {
+        let done = outcome.kind == Ending::Ok;
+        if done && !last_hop {
             r.hop += 1;
             r.entry = target;
             return self.call(now, request);
         }
-        let retry = end == End::Refused
-            && r.tries < MAX_ATTEMPTS
-            && now - r.arrived < RETRY_WITHIN + HOP * 10 * hop as u32
-            && e.retries >= 1.0;
-        if retry {
-            e.retries -= 1.0;
-            return self.attempt(now, request, Some(target));
+        if !done && self.retry(now, request, outcome) {
+            return;
         }
-        r.end = Some((now, end));
+        let r = &mut self.requests[request];
+        r.end = Some((now, if done { End::Done } else { End::Refused }));
+        r.tried = Attempts::default();
+    }
+
+    fn retry(&mut self, now: Time, request: usize, outcome: route::Outcome) -> bool {
+        let r = &self.requests[request];
+        let (hop, entry, left) = (r.hop, r.entry, r.deadline - now);
+        let route = RouteKey(self.sources[r.kind].kind.route);
+        let e = &mut self.entries[hop][entry];
+        if self.retries != Retries::Budget || !e.may_retry(now, &r.tried, outcome, left, route) {
+            return false;
+        }
+        let sent = self.attempt(now, request);
+        if !sent {
+            self.entries[hop][entry].refund();
+        }
+        sent
     }
 
     fn restart(&mut self, now: Time, hop: usize, target: usize) {
@@ -478,29 +499,15 @@
 
     fn timeout(&mut self, now: Time, request: usize) {
         if self.requests[request].end.is_none() && now < self.until {
-            self.attempt(now, request, None);
-        }
-    }
-}
-
-impl Entry {
-    fn new(targets: usize) -> Entry {
-        Entry {
-            in_flight: vec![0; targets],
-            counted: vec![0; targets],
-            connections: vec![0; targets],
-            turn: 0,
-            retries: 0.0,
+            self.attempt(now, request);
         }
     }
 }
 
 fn node(case: &Case, cfg: &TargetCfg) -> Node {
     let warm = limits(case, cfg, Duration::ZERO);
-    let admission = match case.policy {
-        Policy::Admit(tuning) => Some(Admission::with_tuning(warm, tuning, Time::ZERO)),
-        Policy::Open | Policy::Plain => None,
-    };
+    let tuning = case.policy.admission;
+    let admission = tuning.map(|t| Admission::with_tuning(warm, t, Time::ZERO));
     Node {
         target: Target::new(*cfg),
         admission,
--- a/crates/bench/src/queue_sizes.rs
+++ b/crates/bench/src/queue_sizes.rs
@@ -6,7 +6,8 @@
 use wire::Time;
 
 use crate::queue_load::{Kind, Rate, Spread};
-use crate::queue_model::{Policy, Request};
+use crate::queue_model::{Policy, Request, Retries};
+use crate::queue_pick::Pick;
 use crate::queue_target::TargetCfg;
 
 /// Mean service time of a lookup on the fastest target.
@@ -19,6 +20,9 @@
 pub(crate) const COLD_START: Duration = Duration::from_secs(5);
 /// Largest latency that is told apart, in microseconds.
 const MAX_US: u64 = 60_000_000;
+/// Attempts per request under the policy with retries after each timeout. Without a cap, a run at
+/// three times the capacity doesn't end in useful time.
+const BASELINE_ATTEMPTS: u32 = 5;
 /// Callers of equal demand.
 pub(crate) const CALLERS: usize = 8;
 
@@ -102,14 +106,45 @@
     r.in_time().unwrap_or(r.deadline - r.arrived)
 }
 
-/// Returns the policies to run: with the baseline, both side by side.
+/// Returns the policies to run: with the baseline, all side by side. Each of the others differs
+/// from ours in what its name says; the last two have no admission.
 pub(crate) fn policies(baseline: bool) -> Vec<(&'static str, Policy)> {
-    let admit = ("", Policy::Admit(admit::Tuning::default()));
-    if baseline {
-        vec![admit, (".plain", Policy::Plain)]
-    } else {
-        vec![admit]
+    let ours = Policy::ours();
+    if !baseline {
+        return vec![("", ours)];
     }
+    let other = Policy {
+        bounded: false,
+        ..ours
+    };
+    let fifo = admit::Tuning {
+        newest_first: false,
+        ..admit::Tuning::default()
+    };
+    let with_pick = |pick| Policy { pick, ..other };
+    let no_queue_limit = Policy {
+        admission: None,
+        ..other
+    };
+    let unlimited_retries = Policy {
+        pick: Pick::RoundRobin,
+        retries: Retries::AfterTimeout(BASELINE_ATTEMPTS),
+        ..no_queue_limit
+    };
+    vec![
+        ("", ours),
+        (".round_robin", with_pick(Pick::RoundRobin)),
+        (".least_connections", with_pick(Pick::LeastConnections)),
+        (
+            ".fifo",
+            Policy {
+                admission: Some(fifo),
+                ..other
+            },
+        ),
+        (".no_queue_limit", no_queue_limit),
+        (".retries_to_5_attempts", unlimited_retries),
+    ]
 }
 
 /// Measures each service of a site on a thread of its own.
