End an instance's time as busy with its next answer

The picker kept requests away from an instance for 50 ms after a refusal for lack of room. Under overload all entry nodes did so at once, the queue drained in about 16 ms, and the instance then stood idle. Refusals of archive pulls kept lookups away in the same way. An answer shows that a slot has become free, so the wait now ends with it; without answers it still takes 50 ms.

--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -17,7 +17,7 @@
 
 /// Time between two computations of the own domain's use.
 const REFRESH: Duration = Duration::from_millis(5);
-/// How long a refusal for lack of room keeps requests away.
+/// How long a refusal for lack of room keeps requests away, unless the instance answers before.
 const BUSY: Duration = Duration::from_millis(50);
 /// Share of the threshold from which on an instance is a suspect: one late request.
 const SUSPECT_SHARE: f64 = 0.25;
@@ -278,8 +278,12 @@
         call.answered = true;
         let (key, route, latency) = (call.peer, call.route, now.since(call.begun));
         let stalled = call.deferred && !call.judged;
-        if let (Some(peer), Some(load)) = (self.peers.get_mut(key), load) {
-            peer.load = Some((now, load));
+        if let Some(peer) = self.peers.get_mut(key) {
+            // A slot has become free. Waiting longer left instances idle under overload.
+            peer.busy_until = now;
+            if let Some(load) = load {
+                peer.load = Some((now, load));
+            }
         }
         if stalled {
             self.decide(now, ticket, Evidence::Unclear);
