Don't judge latency while most other instances are full

Late answers now count neither as evidence nor for learning while at least half of the other ready instances refuse more than a tenth of the attempts for lack of room or over fair share. Errors still count. A single instance that refuses because it is slow changes nothing, since the others don't refuse.

--- a/crates/route/src/peer.rs
+++ b/crates/route/src/peer.rs
@@ -2,17 +2,20 @@
 
 use std::time::Duration;
 
-use wire::{InstanceId, Load, Time};
+use wire::{Code, InstanceId, Load, Time};
 
 use crate::judge::Speed;
 use crate::outlier::{Ejection, Usual};
-use crate::{State, View};
+use crate::{Kind, State, View};
 
 /// Age beyond which a reported load says nothing.
 const LOAD_MAX_AGE: Duration = Duration::from_secs(2);
 /// Share of its slots that a fresh or readmitted instance begins with.
 const RAMP_START: f64 = 0.1;
 
+/// Weight of one attempt in the share of refusals; it follows within about 30 attempts.
+const REFUSES_SHARE: f64 = 1.0 / 32.0;
+
 /// A time span during which the share of an instance grows.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Ramp {
@@ -49,6 +52,8 @@
     pub(crate) usual: Usual,
     pub(crate) ejection: Option<Ejection>,
     pub(crate) ramp: Option<Ramp>,
+    /// Share of recent attempts that were refused for lack of room.
+    pub(crate) refuses: f64,
     /// Refused for lack of room; other instances are preferred until then.
     pub(crate) busy_until: Time,
     /// Refused because it is draining; membership will report it soon.
@@ -70,6 +75,7 @@
             usual: Usual::default(),
             ejection: None,
             ramp,
+            refuses: 0.0,
             busy_until: Time::ZERO,
             drains_until: Time::ZERO,
             load: None,
@@ -81,6 +87,16 @@
         self.state == State::Ready && now >= self.drains_until
     }
 
+    /// Counts the end of an attempt.
+    pub(crate) fn count_end(&mut self, kind: Kind) {
+        let refused = match kind {
+            Kind::Ok => 0.0,
+            Kind::Refused(Code::QueueFull | Code::CannotStartInTime | Code::OverFairShare) => 1.0,
+            _ => return,
+        };
+        self.refuses += (refused - self.refuses) * REFUSES_SHARE;
+    }
+
     /// Returns the requests that the instance holds: own ones, or those reported if they are more.
     ///
     /// A report can be wrong, so it counts for at most the slots and as many in the queue.
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -19,6 +19,8 @@
 const REFRESH: Duration = Duration::from_millis(5);
 /// How long a refusal for lack of room keeps requests away, unless the instance answers before.
 const BUSY: Duration = Duration::from_millis(50);
+/// Share of refusals for lack of room from which on an instance is full.
+const FULL_SHARE: f64 = 0.1;
 /// Share of the threshold from which on an instance is a suspect: one late request.
 const SUSPECT_SHARE: f64 = 0.25;
 /// Longest time without a request to a suspect. A node that rarely uses an instance would
@@ -318,6 +320,7 @@
         }
         if let Some(peer) = self.peers.get_mut(call.peer) {
             peer.in_flight -= 1;
+            peer.count_end(outcome.kind);
             if let Some(load) = outcome.load {
                 peer.load = Some((now, load));
             }
@@ -437,10 +440,15 @@
     }
 
     fn weigh(&mut self, now: Time, key: PeerKey, begun: Time, evidence: Evidence) {
+        let late = matches!(evidence, Evidence::Late | Evidence::Older);
+        let overloaded = late && self.is_overloaded(key);
         let cfg = &self.cfg.outlier;
         let Some(peer) = self.peers.get_mut(key) else {
             return;
         };
+        if overloaded && peer.ejection.is_none() {
+            return;
+        }
         let change = peer.usual.weigh(cfg, evidence, peer.ejection.is_some());
         let Some(ejection) = &mut peer.ejection else {
             peer.suspicion = bounded(cfg, peer.suspicion + change);
@@ -462,6 +470,18 @@
         }
     }
 
+    /// Returns whether at least half of the other instances refuse work for lack of room. Then
+    /// latency depends on their queues and says little about an instance.
+    fn is_overloaded(&self, key: PeerKey) -> bool {
+        let others = || {
+            self.peers
+                .iter()
+                .filter(|(k, p)| *k != key && p.state == State::Ready)
+        };
+        let full = others().filter(|(_, p)| p.refuses > FULL_SHARE).count();
+        full > 0 && full * 2 >= others().count()
+    }
+
     /// Ejects an instance unless too many are out or most others look the same.
     fn try_eject(&mut self, now: Time, key: PeerKey) {
         let limit = max_ejected(self.ready());
