Don't send a second attempt when the service is full

A further attempt or hedge is now not made when the instances tried refuse more than a tenth of the attempts for lack of room and so do at least half of the others. Failed connects to instances that aren't full are still tried elsewhere.

--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -223,9 +223,13 @@
         }
     }
 
-    /// Chooses an instance, or `None` if none takes work or all were tried.
+    /// Chooses an instance, or `None` if none takes work, all were tried, or the instances tried
+    /// and most others are full.
     pub fn pick(&mut self, now: Time, ask: &Ask<'_>) -> Option<Pick> {
         self.advance(now);
+        if self.is_full_everywhere(ask) {
+            return None;
+        }
         if let Some(id) = self.probe(now, ask) {
             return Some(Pick { id, probe: true });
         }
@@ -482,6 +486,13 @@
         full > 0 && full * 2 >= others().count()
     }
 
+    /// Returns whether a further attempt would only be refused again, and later than the first.
+    fn is_full_everywhere(&self, ask: &Ask<'_>) -> bool {
+        let tried = || ask.exclude.iter().filter_map(|id| self.by_id.get(id));
+        tried().next().is_some()
+            && tried().all(|k| self.peers[*k].refuses > FULL_SHARE && self.is_overloaded(*k))
+    }
+
     /// Ejects an instance unless too many are out or most others look the same.
     fn try_eject(&mut self, now: Time, key: PeerKey) {
         let limit = max_ejected(self.ready());
