Run the cases side by side and add the fair share from the start

They are independent, so each now has its own thread; the order of the output is unchanged.

The new figure others_fair_share_from_start counts arrivals from the first one on, while the present figure leaves out 3 s.

--- a/crates/bench/src/crest.rs
+++ b/crates/bench/src/crest.rs
@@ -11,8 +11,8 @@
 use crate::queue_load::Rate;
 use crate::queue_model::{Case, Outcome, Policy, run as run_case};
 use crate::queue_sizes::{
-    CALLERS, LOOKUP, SITES, Site, capacity, each_service, latency, lookups, p99_ms, policies,
-    targets,
+    CALLERS, LOOKUP, SITES, Site, capacity, each_service, in_parallel, latency, lookups, p99_ms,
+    policies, targets,
 };
 use crate::queue_target::TargetCfg;
 
@@ -53,15 +53,19 @@
 pub(crate) fn run(seed: u64, baseline: bool) -> Vec<Figure> {
     let mut figures = Vec::new();
     for (suffix, policy) in policies(baseline) {
-        for site in &SITES {
-            let seen = each_service(site, |n| measure(site, n, policy, seed))
-                .into_iter()
-                .reduce(worst)
-                .expect("a site has services");
-            let name = format!("crest{suffix}.{}", site.name);
-            figures.extend(report(&name, &seen, policy));
-        }
-        figures.extend(queue_chain::run(suffix, policy, seed));
+        let (rows, chain) = std::thread::scope(|scope| {
+            let chain = scope.spawn(|| queue_chain::run(suffix, policy, seed));
+            let rows = in_parallel(&SITES, |site| {
+                let seen = each_service(site, |n| measure(site, n, policy, seed))
+                    .into_iter()
+                    .reduce(worst)
+                    .expect("a site has services");
+                report(&format!("crest{suffix}.{}", site.name), &seen, policy)
+            });
+            (rows, chain.join().expect("a measurement panics"))
+        });
+        figures.extend(rows.into_iter().flatten());
+        figures.extend(chain);
     }
     figures
 }
--- a/crates/bench/src/head_of_line.rs
+++ b/crates/bench/src/head_of_line.rs
@@ -12,8 +12,8 @@
 use crate::queue_load::{Kind, Rate, Spread};
 use crate::queue_model::{Case, End, Outcome, Policy, Request, run as run_case};
 use crate::queue_sizes::{
-    CALLERS, LOOKUP, SITES, Site, capacity, each_service, latency, lookups, p99_ms, policies,
-    targets,
+    CALLERS, LOOKUP, SITES, Site, capacity, each_service, in_parallel, latency, lookups, p99_ms,
+    policies, targets,
 };
 
 /// Share of the capacity that short work takes.
@@ -65,21 +65,23 @@
     others: f64,
     archive: f64,
     fair: f64,
+    fair_from_start: f64,
 }
 
 pub(crate) fn run(seed: u64, baseline: bool) -> Vec<Figure> {
+    let of_site = |site: &'static Site| VARIANTS.map(|(name, v)| (site, name, v));
+    let cells: Vec<_> = SITES.iter().flat_map(of_site).collect();
     let mut figures = Vec::new();
     for (suffix, policy) in policies(baseline) {
-        for site in &SITES {
-            for (name, variant) in VARIANTS {
-                let seen = each_service(site, |n| measure(site, n, variant, policy, seed))
-                    .into_iter()
-                    .reduce(worst)
-                    .expect("a site has services");
-                let name = format!("head_of_line{suffix}.{}.{name}", site.name);
-                figures.extend(report(&name, variant, &seen, policy));
-            }
-        }
+        let rows = in_parallel(&cells, |(site, name, variant)| {
+            let seen = each_service(site, |n| measure(site, n, *variant, policy, seed))
+                .into_iter()
+                .reduce(worst)
+                .expect("a site has services");
+            let name = format!("head_of_line{suffix}.{}.{name}", site.name);
+            report(&name, *variant, &seen, policy)
+        });
+        figures.extend(rows.into_iter().flatten());
     }
     figures
 }
@@ -106,6 +108,12 @@
             "share",
             Bound::AtLeast(FAIR),
         ));
+        figures.push(f(
+            "others_fair_share_from_start",
+            seen.fair_from_start,
+            "share",
+            Bound::None,
+        ));
     }
     figures
 }
@@ -117,6 +125,7 @@
         others: a.others.max(b.others),
         archive: a.archive.min(b.archive),
         fair: a.fair.min(b.fair),
+        fair_from_start: a.fair_from_start.min(b.fair_from_start),
     }
 }
 
@@ -135,7 +144,8 @@
         upload: ratio(1),
         others: others(&mixed) as f64,
         archive: archive_share(&case, &mixed),
-        fair: fair_share(&mixed),
+        fair: fair_share(&mixed, WARM_UP),
+        fair_from_start: fair_share(&mixed, Duration::ZERO),
     }
 }
 
@@ -213,9 +223,9 @@
 }
 
 /// Returns the completed archive pulls of the callers with few, over their equal share of all
-/// completed ones or, if less, over what they offered.
-fn fair_share(outcome: &Outcome) -> f64 {
-    let counted = |r: &&Request| r.kind == ARCHIVE && r.arrived >= Time::ZERO + WARM_UP;
+/// completed ones or, if less, over what they offered. Only arrivals `after` the start count.
+fn fair_share(outcome: &Outcome, after: Duration) -> f64 {
+    let counted = |r: &&Request| r.kind == ARCHIVE && r.arrived >= Time::ZERO + after;
     let pulls = || outcome.requests.iter().filter(counted);
     let done = |r: &&Request| matches!(r.end, Some((_, End::Done)));
     let few = |r: &&Request| r.caller != 0;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -70,9 +70,9 @@
     };
     let mut figures = Vec::new();
     if args.check || args.baseline {
-        figures.extend(head_of_line::run(args.seed, args.baseline));
-        figures.extend(crest::run(args.seed, args.baseline));
-        figures.extend(straggler::run(args.seed, args.baseline));
+        let cases = [head_of_line::run, crest::run, straggler::run];
+        let rows = queue_sizes::in_parallel(&cases, |run| run(args.seed, args.baseline));
+        figures.extend(rows.into_iter().flatten());
     }
     let wall = if args.wall {
         wall::run(&args.nodes)
--- a/crates/bench/src/queue_model.rs
+++ b/crates/bench/src/queue_model.rs
@@ -260,7 +260,7 @@
             Step::Reach(attempt) => self.reach(now, attempt),
             Step::Served(attempt) => self.served(now, attempt),
             Step::Answer(attempt, end, load) => {
-                self.answer(now, attempt, route::Outcome { kind: end, load })
+                self.answer(now, attempt, route::Outcome { kind: end, load });
             }
             Step::Wake(hop, target) => {
                 self.nodes[hop][target].wake = None;
--- a/crates/bench/src/queue_sizes.rs
+++ b/crates/bench/src/queue_sizes.rs
@@ -149,13 +149,20 @@
 
 /// Measures each service of a site on a thread of its own.
 pub(crate) fn each_service<T: Send>(site: &Site, measure: impl Fn(usize) -> T + Sync) -> Vec<T> {
+    in_parallel(site.services, |n| measure(*n))
+}
+
+/// Measures each item on a thread of its own. The results have the order of the items.
+pub(crate) fn in_parallel<I: Sync, T: Send>(
+    items: &[I],
+    measure: impl Fn(&I) -> T + Sync,
+) -> Vec<T> {
     std::thread::scope(|scope| {
         let measure = &measure;
-        let start = |n: &usize| {
-            let n = *n;
-            scope.spawn(move || measure(n))
-        };
-        let threads: Vec<_> = site.services.iter().map(start).collect();
+        let threads: Vec<_> = items
+            .iter()
+            .map(|i| scope.spawn(move || measure(i)))
+            .collect();
         let join =
             |t: std::thread::ScopedJoinHandle<'_, T>| t.join().expect("a measurement panics");
         threads.into_iter().map(join).collect()
--- a/crates/bench/src/straggler.rs
+++ b/crates/bench/src/straggler.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::figure::{Bound, Figure};
+use crate::queue_sizes::in_parallel;
 use policy::Policy;
 use sim::{Case, Measured, Sim};
 
@@ -28,15 +29,15 @@
 const MIXED: [f64; 4] = [1.0, 1.5, 2.0, 3.0];
 
 pub(crate) fn run(seed: u64, baseline: bool) -> Vec<Figure> {
-    let mut figures = Vec::new();
-    for case in cases(seed) {
-        figures.extend(bounded(&case, seed));
+    let rows = in_parallel(&cases(seed), |case| {
+        let mut figures = bounded(case, seed);
         if baseline {
-            figures.extend(compared(&case, seed, Policy::RoundRobin));
-            figures.extend(compared(&case, seed, Policy::LeastConnections));
+            figures.extend(compared(case, seed, Policy::RoundRobin));
+            figures.extend(compared(case, seed, Policy::LeastConnections));
         }
-    }
-    figures
+        figures
+    });
+    rows.into_iter().flatten().collect()
 }
 
 /// The slowed target changes with the seed, so that fast and slow ones are covered.
