--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -17,8 +17,10 @@
 
 /// Time between two computations of the own domain's use.
 const REFRESH: Duration = Duration::from_millis(5);
-/// How long a refusal for lack of room keeps requests away.
+/// How long a refusal for lack of room keeps requests away, unless the instance answers before.
 const BUSY: Duration = Duration::from_millis(50);
+/// Share of refusals for lack of room from which on an instance is full.
+const FULL_SHARE: f64 = 0.1;
 /// Share of the threshold from which on an instance is a suspect: one late request.
 const SUSPECT_SHARE: f64 = 0.25;
 /// Longest time without a request to a suspect. A node that rarely uses an instance would
@@ -221,9 +223,13 @@
         }
     }
 
-    /// Chooses an instance, or `None` if none takes work or all were tried.
+    /// Chooses an instance, or `None` if none takes work, all were tried, or the instances tried
+    /// and most others are full.
     pub fn pick(&mut self, now: Time, ask: &Ask<'_>) -> Option<Pick> {
         self.advance(now);
+        if self.is_full_everywhere(ask) {
+            return None;
+        }
         if let Some(id) = self.probe(now, ask) {
             return Some(Pick { id, probe: true });
         }
@@ -278,8 +284,12 @@
         call.answered = true;
         let (key, route, latency) = (call.peer, call.route, now.since(call.begun));
         let stalled = call.deferred && !call.judged;
-        if let (Some(peer), Some(load)) = (self.peers.get_mut(key), load) {
-            peer.load = Some((now, load));
+        if let Some(peer) = self.peers.get_mut(key) {
+            // A slot has become free. Waiting longer left instances idle under overload.
+            peer.busy_until = now;
+            if let Some(load) = load {
+                peer.load = Some((now, load));
+            }
         }
         if stalled {
             self.decide(now, ticket, Evidence::Unclear);
@@ -314,6 +324,7 @@
         }
         if let Some(peer) = self.peers.get_mut(call.peer) {
             peer.in_flight -= 1;
+            peer.count_end(outcome.kind);
             if let Some(load) = outcome.load {
                 peer.load = Some((now, load));
             }
@@ -433,10 +444,15 @@
     }
 
     fn weigh(&mut self, now: Time, key: PeerKey, begun: Time, evidence: Evidence) {
+        let late = matches!(evidence, Evidence::Late | Evidence::Older);
+        let overloaded = late && self.is_overloaded(key);
         let cfg = &self.cfg.outlier;
         let Some(peer) = self.peers.get_mut(key) else {
             return;
         };
+        if overloaded && peer.ejection.is_none() {
+            return;
+        }
         let change = peer.usual.weigh(cfg, evidence, peer.ejection.is_some());
         let Some(ejection) = &mut peer.ejection else {
             peer.suspicion = bounded(cfg, peer.suspicion + change);
@@ -458,6 +474,25 @@
         }
     }
 
+    /// Returns whether at least half of the other instances refuse work for lack of room. Then
+    /// latency depends on their queues and says little about an instance.
+    fn is_overloaded(&self, key: PeerKey) -> bool {
+        let others = || {
+            self.peers
+                .iter()
+                .filter(|(k, p)| *k != key && p.state == State::Ready)
+        };
+        let full = others().filter(|(_, p)| p.refuses > FULL_SHARE).count();
+        full > 0 && full * 2 >= others().count()
+    }
+
+    /// Returns whether a further attempt would only be refused again, and later than the first.
+    fn is_full_everywhere(&self, ask: &Ask<'_>) -> bool {
+        let tried = || ask.exclude.iter().filter_map(|id| self.by_id.get(id));
+        tried().next().is_some()
+            && tried().all(|k| self.peers[*k].refuses > FULL_SHARE && self.is_overloaded(*k))
+    }
+
     /// Ejects an instance unless too many are out or most others look the same.
     fn try_eject(&mut self, now: Time, key: PeerKey) {
         let limit = max_ejected(self.ready());
