--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -372,9 +372,6 @@
         } else {
             Code::OverFairShare
         };
-        if request.long && self.push_out(request.bucket, own) {
-            return Ok(());
-        }
         let Some(oldest) = oldest.filter(|_| bounded_wait) else {
             return Err(code);
         };
@@ -383,20 +380,6 @@
         Ok(())
     }
 
-    /// Refuses the newest long request of the caller that has the most of them waiting, if that
-    /// leaves it no fewer than `own` would then have. Without this, a caller that came first keeps
-    /// the places of the queue from those that send little.
-    fn push_out(&mut self, bucket: u64, own: usize) -> bool {
-        match self.long.largest() {
-            Some((other, waiting, newest)) if other != bucket && waiting > own + 1 => {
-                let refusal = self.refuse_waiting(Code::OverFairShare, true);
-                self.refuse(newest, refusal);
-                true
-            }
-            _ => false,
-        }
-    }
-
     /// Returns how many more requests of a class may wait.
     fn free_places(&self, long: bool) -> usize {
         let all = self.limits.queue as usize;
--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -61,14 +61,6 @@
         })
     }
 
-    /// Returns the entry with the most waiting requests, their number, and the newest of them.
-    pub(crate) fn largest(&self) -> Option<(u64, usize, Key)> {
-        let waiting = self.callers.iter().filter(|(_, c)| !c.waiting.is_empty());
-        let (bucket, c) = waiting.max_by_key(|(_, c)| c.waiting.len())?;
-        let (_, newest) = c.waiting.last_key_value()?;
-        Some((*bucket, c.waiting.len(), *newest))
-    }
-
     /// Returns the entry that `caller` uses.
     pub(crate) fn bucket(&mut self, caller: u64) -> u64 {
         if self.callers.contains_key(&caller) {
