Answer 201 to callers that hold less than an equal part of the queue

Tried: 205 only for callers with at least an equal part of what waits, 201, which is retried elsewhere, for the others.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -367,7 +367,8 @@
         }
         let code = if in_time == 0 {
             Code::CannotStartInTime
-        } else if places == 0 {
+        } else if places == 0 || own < queue.equal_part() {
+            // Others hold the places, so another target may have room for this caller.
             Code::QueueFull
         } else {
             Code::OverFairShare
