--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -367,8 +367,7 @@
         }
         let code = if in_time == 0 {
             Code::CannotStartInTime
-        } else if places == 0 || own < queue.equal_part() {
-            // Others hold the places, so another target may have room for this caller.
+        } else if places == 0 {
             Code::QueueFull
         } else {
             Code::OverFairShare
--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -61,11 +61,6 @@
         })
     }
 
-    /// Returns how many requests each caller with waiting requests has on average, rounded up.
-    pub(crate) fn equal_part(&self) -> usize {
-        self.len().div_ceil(self.ready.len().max(1))
-    }
-
     /// Returns the entry that `caller` uses.
     pub(crate) fn bucket(&mut self, caller: u64) -> u64 {
         if self.callers.contains_key(&caller) {
