--- a/crates/node/src/beside.rs
+++ b/crates/node/src/beside.rs
@@ -18,7 +18,7 @@
 use crate::gate::Permit;
 use crate::headers::{HopMeta, strip_hop_by_hop, strip_own};
 use crate::shared::Shared;
-use crate::{claims, problem, strikes};
+use crate::{once, problem, strikes};
 
 /// Time to open a connection to the target on the same instance.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -65,7 +65,7 @@
     }
     // A repeat of a request that ran is no new work, so it is answered as long as that is possible.
     if hop.meta.repeat == Repeat::Never
-        && let Some(res) = claims::known_answer(shared, &hop).await
+        && let Some(res) = once::known_answer(shared, &hop).await
     {
         return Ok(res);
     }
@@ -79,7 +79,7 @@
     let permit = admit(shared, &hop).await?;
     match hop.meta.repeat {
         Repeat::Safe => hand_over(shared, hop, permit).await,
-        Repeat::Never => claims::run_once(shared, hop, permit).await,
+        Repeat::Never => once::run_once(shared, hop, permit).await,
     }
 }
 
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -1,50 +1,35 @@
-//! Requests that must not be repeated: the actor round [`Claims`], the reading of the claim
-//! streams, and the run itself.
+//! The actor round [`Claims`], which decides on requests that must not be repeated.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use axum::body::Body;
-use axum::http::{HeaderValue, StatusCode};
-use axum::response::Response;
-use bytes::Bytes;
 use claim::{
     Action, Admitted, Answer, Boot, Cfg, ClaimEvent, Claims, Event, IssuedKey, Issuer, Key, Now,
     Outcome, ReqId, Shard,
 };
-use futures_util::StreamExt;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use ops::Metric;
-use plat::{Batch, LogError};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use wire::{Code, Fingerprint, Offset, Refusal, Time};
 
-use crate::beside::{self, Hop};
 use crate::clock::unix_now;
-use crate::gate::Permit;
-use crate::problem;
-use crate::shared::{InProgress, Shared};
+use crate::shared::Shared;
 
 /// Claim streams of a service. Claims of one stream share appends.
 const SHARDS: usize = 4;
 /// A stream is followed for this long after its last request.
 const FOLLOW: Duration = Duration::from_secs(30);
-const LONG_POLL: Duration = Duration::from_secs(1);
 /// Spreads the checkpoints of several nodes, so that one writes and the others see it in time.
 const CHECKPOINT_SPREAD: f64 = 0.5;
-const RETRY_MS: std::ops::Range<u64> = 20..200;
-/// Pieces of an answer that wait for a slow caller.
-const ANSWER_PIECES: usize = 16;
 
 /// The decision on a request.
 #[derive(Debug)]
-enum Decision {
+pub(crate) enum Decision {
     Run,
     Answer(Answer),
     Refuse(Refusal),
@@ -74,8 +59,8 @@
 /// What the reader of a stream has to do.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Follow {
-    from: Offset,
-    until: Time,
+    pub(crate) from: Offset,
+    pub(crate) until: Time,
 }
 
 pub(crate) struct ClaimArgs {
@@ -256,17 +241,17 @@
     }
 }
 
-fn stream_name(shared: &Shared, shard: usize) -> String {
+pub(crate) fn stream_name(shared: &Shared, shard: usize) -> String {
     format!("claims.{}.{shard}", shared.settings.service)
 }
 
 /// A request asks to run.
-struct Ask {
-    req: ReqId,
-    key: String,
-    request: Fingerprint,
-    deadline: Time,
-    reply: oneshot::Sender<Decision>,
+pub(crate) struct Ask {
+    pub(crate) req: ReqId,
+    pub(crate) key: String,
+    pub(crate) request: Fingerprint,
+    pub(crate) deadline: Time,
+    pub(crate) reply: oneshot::Sender<Decision>,
 }
 
 impl Message<Ask> for ClaimKeeper {
@@ -293,7 +278,7 @@
 }
 
 /// An event about a request that has asked.
-struct About(ClaimEvent);
+pub(crate) struct About(pub(crate) ClaimEvent);
 
 impl Message<About> for ClaimKeeper {
     type Reply = ();
@@ -308,8 +293,8 @@
 
 /// Events of a stream.
 pub(crate) struct Stream {
-    shard: usize,
-    events: Vec<Event>,
+    pub(crate) shard: usize,
+    pub(crate) events: Vec<Event>,
 }
 
 impl Message<Stream> for ClaimKeeper {
@@ -355,9 +340,9 @@
 }
 
 /// Asks whether the outcome of an earlier request with the key is known here.
-struct Peek {
-    key: String,
-    request: Fingerprint,
+pub(crate) struct Peek {
+    pub(crate) key: String,
+    pub(crate) request: Fingerprint,
 }
 
 impl Message<Peek> for ClaimKeeper {
@@ -384,269 +369,3 @@
         }
     }
 }
-
-/// Reads one claim stream while there is demand, until `stop`.
-pub(crate) async fn read_stream(
-    shared: Arc<Shared>,
-    keeper: ActorRef<ClaimKeeper>,
-    shard: usize,
-    mut follow: watch::Receiver<Follow>,
-    mut stop: watch::Receiver<bool>,
-) {
-    let stream = stream_name(&shared, shard);
-    let mut rng = StdRng::seed_from_u64(shared.settings.random_seed ^ shared.id.0 ^ shard as u64);
-    let mut wanted = shared.claims_wanted.subscribe();
-    let mut primed = false;
-    let mut at_end = false;
-    while !*stop.borrow() {
-        let now = shared.clock.now();
-        let Follow { from, until } = *follow.borrow_and_update();
-        // No claim is taken before the end of the stream was seen once.
-        let prime = !primed && *wanted.borrow_and_update();
-        if until <= now && !prime {
-            at_end = false;
-            tokio::select! {
-                _ = follow.changed() => {}
-                _ = wanted.changed(), if !primed => {}
-                _ = stop.changed() => {}
-            }
-            continue;
-        }
-        // Only a read that can bring nothing new but later records waits for them.
-        let wait = if at_end { LONG_POLL } else { Duration::ZERO };
-        let read = tokio::select! {
-            read = shared.log.read(&stream, from, wait) => read,
-            _ = stop.changed() => continue,
-        };
-        match events_of(from, read) {
-            Some(events) => {
-                at_end = matches!(events.last(), Some(Event::End { .. }));
-                primed |= at_end;
-                // Waits until the events are applied, so that the next position is known.
-                let _ = keeper.ask(Stream { shard, events }).await;
-            }
-            None => {
-                at_end = false;
-                shared.metrics.count(Metric::LogFailures);
-                let ms = rng.random_range(RETRY_MS);
-                tokio::time::sleep(Duration::from_millis(ms)).await;
-            }
-        }
-    }
-}
-
-/// Turns the answer to a read into events, or nothing if the log is away.
-fn events_of(from: Offset, read: Result<Batch, LogError>) -> Option<Vec<Event>> {
-    match read {
-        Ok(batch) => {
-            let last = batch.records.last().map_or(from, |r| r.offset.next());
-            let read = |r: plat::Record| Event::Read {
-                offset: r.offset,
-                data: r.data,
-            };
-            let mut events: Vec<Event> = batch.records.into_iter().map(read).collect();
-            if last >= batch.end {
-                events.push(Event::End { end: batch.end });
-            }
-            Some(events)
-        }
-        Err(LogError::Expired { oldest, .. }) => Some(vec![Event::Expired { oldest }]),
-        Err(_) => None,
-    }
-}
-
-/// Tells the keeper that the request went away unless it was handed over.
-struct Asked {
-    keeper: ActorRef<ClaimKeeper>,
-    req: ReqId,
-    settled: bool,
-}
-
-impl Drop for Asked {
-    fn drop(&mut self) {
-        if !self.settled {
-            let (keeper, req) = (self.keeper.clone(), self.req);
-            // The keeper's mailbox may be full, so this waits outside of the dropped future.
-            tokio::spawn(async move {
-                let _ = keeper.tell(About(ClaimEvent::Dropped(req))).await;
-            });
-        }
-    }
-}
-
-/// Answers a repeat from what is known here, without a slot and without the log.
-pub(crate) async fn known_answer(shared: &Arc<Shared>, hop: &Hop) -> Option<Response> {
-    let links = shared.links.get()?;
-    let key = hop.key.clone()?;
-    let peek = Peek {
-        key,
-        request: hop.meta.fingerprint,
-    };
-    match links.claims.ask(peek).await.ok()?? {
-        Ok(answer) => {
-            shared.metrics.count(Metric::ClaimsRepeated);
-            Some(kept(answer))
-        }
-        Err(code) => Some(problem::response(code.into())),
-    }
-}
-
-/// Claims the request's key and, if the claim wins, hands the request to the target.
-pub(crate) async fn run_once(
-    shared: &Arc<Shared>,
-    hop: Hop,
-    permit: Permit,
-) -> Result<Response, Refusal> {
-    static NEXT: AtomicU64 = AtomicU64::new(0);
-    let links = shared.links.get().ok_or(Code::NotReady)?;
-    let key = hop.key.clone().ok_or(Code::KeyMissing)?;
-    let req = ReqId(NEXT.fetch_add(1, Ordering::Relaxed));
-    let mut span = shared.tracer.start("claim", &hop.parent);
-    let (reply, decided) = oneshot::channel();
-    let request = hop.meta.fingerprint;
-    let ask = Ask {
-        req,
-        key,
-        request,
-        deadline: hop.deadline,
-        reply,
-    };
-    links
-        .claims
-        .tell(ask)
-        .await
-        .map_err(|_| Code::ClaimUnavailable)?;
-    let asked = Asked {
-        keeper: links.claims.clone(),
-        req,
-        settled: false,
-    };
-    match decided.await {
-        Ok(Decision::Run) => shared.metrics.count(Metric::ClaimsWon),
-        Ok(Decision::Answer(answer)) => return Ok(kept(answer)),
-        Ok(Decision::Refuse(refusal)) => {
-            let unavailable = refusal.code == Code::ClaimUnavailable;
-            let metric = if unavailable {
-                Metric::ClaimsUnavailable
-            } else {
-                Metric::ClaimsLost
-            };
-            shared.metrics.count(metric);
-            span.set("briarlug.code", i64::from(refusal.code.number()));
-            span.fail("refused");
-            return Err(refusal);
-        }
-        Err(_) => return Err(Code::ClaimUnavailable.into()),
-    }
-    drop(span);
-    // A target that takes no connection is found out before the claim becomes irrevocable.
-    beside::check_connect(shared).await?;
-    let (tx, rx) = oneshot::channel();
-    // The run goes on when the caller goes away: a broken transfer would help nobody, and the
-    // outcome is kept for the repeat.
-    shared
-        .tasks
-        .spawn(run(shared.clone(), hop, permit, asked, tx));
-    rx.await.unwrap_or_else(|_| Err(Code::TargetLost.into()))
-}
-
-type Head = Result<Response, Refusal>;
-
-async fn run(
-    shared: Arc<Shared>,
-    mut hop: Hop,
-    permit: Permit,
-    mut asked: Asked,
-    head: oneshot::Sender<Head>,
-) {
-    let keeper = asked.keeper.clone();
-    let req = asked.req;
-    if shared.clock.now() >= hop.deadline {
-        let _ = head.send(Err(Code::DeadlinePassed.into()));
-        return;
-    }
-    if keeper.ask(About(ClaimEvent::Handed(req))).await.is_err() {
-        let _ = head.send(Err(Code::ClaimUnavailable.into()));
-        return;
-    }
-    asked.settled = true;
-    let span = shared.tracer.start("target", &hop.parent);
-    let event = match beside::exchange(&shared, &mut hop, &span).await {
-        Ok(res) => relay(&shared, res, &hop, req, head).await,
-        Err(refusal) => {
-            let _ = head.send(Err(after_hand_over(refusal)));
-            ClaimEvent::Lost(req)
-        }
-    };
-    if matches!(event, ClaimEvent::Finished { .. }) {
-        permit.finish_ok();
-    }
-    let _ = keeper.tell(About(event)).await;
-}
-
-/// The claim is spent once the hand-over has begun, so a failure then must not invite a repeat
-/// that would be refused.
-fn after_hand_over(refusal: Refusal) -> Refusal {
-    match refusal.code {
-        Code::TargetDown | Code::DeadlinePassed => Code::TargetLost.into(),
-        _ => refusal,
-    }
-}
-
-/// Passes the answer on while keeping its beginning for repeats.
-async fn relay(
-    shared: &Arc<Shared>,
-    res: reqwest::Response,
-    hop: &Hop,
-    req: ReqId,
-    head: oneshot::Sender<Head>,
-) -> ClaimEvent {
-    let status = res.status().as_u16();
-    let (tx, rx) = mpsc::channel::<Result<Bytes, std::io::Error>>(ANSWER_PIECES);
-    let mut out = beside::response_head(&res);
-    let addr = res.remote_addr();
-    *out.body_mut() = Body::from_stream(receiver_stream(rx, shared.in_progress()));
-    let _ = head.send(Ok(out));
-    let mut answer = Vec::new();
-    let mut pieces = res.bytes_stream();
-    while let Some(piece) = pieces.next().await {
-        let Ok(piece) = piece else {
-            shared.metrics.count(Metric::AnswersBroken);
-            // The status is known but the answer is not, so a repeat must not get a part of it.
-            let _ = tx.send(Err(std::io::Error::other("target lost"))).await;
-            if let Some(addr) = addr {
-                beside::strike_if_dead(shared, addr, hop.meta.fingerprint).await;
-            }
-            return ClaimEvent::Lost(req);
-        };
-        if answer.len() <= claim::MAX_ANSWER_BYTES {
-            answer.extend_from_slice(&piece);
-        }
-        // The caller may have gone; the rest is read all the same.
-        let _ = tx.send(Ok(piece)).await;
-    }
-    ClaimEvent::Finished {
-        req,
-        status,
-        answer,
-    }
-}
-
-fn receiver_stream<T>(
-    mut rx: mpsc::Receiver<T>,
-    in_progress: InProgress,
-) -> impl futures_util::Stream<Item = T> {
-    futures_util::stream::poll_fn(move |cx| {
-        // A graceful shutdown waits until the last piece has left.
-        let _held = &in_progress;
-        rx.poll_recv(cx)
-    })
-}
-
-fn kept(answer: Answer) -> Response {
-    let mut res = Response::new(Body::from(answer.body));
-    *res.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
-    res.headers_mut()
-        .insert("idempotency-replayed", HeaderValue::from_static("true"));
-    res
-}
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use axum::http::{HeaderMap, HeaderName, Method, header};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, Method, header};
 use config::{Class, Repeat};
 use wire::{Fingerprint, KeyRing, ServiceName, Version};
 
@@ -158,3 +158,15 @@
         mac,
     )
 }
+
+/// Sets a header; a value that no header can hold is left out.
+pub(crate) fn insert(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// Returns the text of a header.
+pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -23,7 +23,7 @@
 use crate::gossip::{Gossip, GossipArgs, Sender, Tick};
 use crate::settings::Settings;
 use crate::shared::{Links, Shared};
-use crate::{entry, gossip, local, operator, peers, reader, rpc, target};
+use crate::{claim_stream, entry, gossip, local, operator, peers, reader, rpc, target};
 
 /// A fifth of the time within which a slow instance has to be ejected.
 const PICKER_POLL: Duration = Duration::from_millis(100);
@@ -290,7 +290,7 @@
             }));
         for (i, follower) in followers.into_iter().enumerate() {
             let keeper = claims.clone();
-            self.tasks.spawn(claims::read_stream(
+            self.tasks.spawn(claim_stream::read_stream(
                 shared.clone(),
                 keeper,
                 i,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -5,7 +5,6 @@
 
 use axum::Router;
 use axum::extract::{Request, State};
-use axum::http::HeaderMap;
 use axum::response::Response;
 use axum::routing::post;
 use ops::{Metric, ParentContext};
@@ -13,7 +12,7 @@
 
 use crate::beside::{self, Hop};
 use crate::body::Inbound;
-use crate::headers::{HOP, HopMeta, strip_hop_by_hop, strip_own, verify_hop};
+use crate::headers::{HOP, HopMeta, strip_hop_by_hop, strip_own, text, verify_hop};
 use crate::shared::Shared;
 use crate::{problem, strikes};
 
@@ -75,7 +74,3 @@
         strike: Arc::default(),
     })
 }
-
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
