Let a few answers to a join bring the members

Cause: a starting node asks up to 16 others for version and floor, and each answer carried all members in scope, so a return cost as many tables. Ruled out: asking one only (it may have just started itself). Change: the first four questions ask for the members too, and more while fewer than 8 are known; the rest is learned from updates and by comparison.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -23,6 +23,12 @@
 /// Earlier texts kept as bases of deltas. A node that is further behind gets the whole text.
 const KEPT_TEXTS: usize = 8;
 
+/// A starting node asks up to 16 others for versions and floors; asking each for its members would
+/// cost that many tables.
+const JOINS_WITH_MEMBERS: u32 = 4;
+/// A node that knows fewer members than this goes on asking for them.
+const KNOWN_AFTER_JOIN: usize = 8;
+
 /// Owns the spread of configuration.
 #[derive(Debug)]
 pub(crate) struct Control {
@@ -32,6 +38,8 @@
     wake: watch::Sender<Time>,
     read_log: watch::Sender<bool>,
     texts: VecDeque<ConfigText>,
+    /// Questions to join that asked for the members too.
+    joins_with_members: u32,
     /// Deltas from earlier texts to the newest one.
     deltas: BTreeMap<Version, Delta>,
 }
@@ -75,6 +83,7 @@
             read_log,
             texts,
             deltas,
+            joins_with_members: 0,
         })
     }
 }
@@ -150,16 +159,20 @@
         );
     }
 
-    fn start_join(&self, to: Contact, me: &ActorRef<Self>) {
+    fn start_join(&mut self, to: Contact, me: &ActorRef<Self>) {
         let (shared, me) = (self.shared.clone(), me.clone());
         let addr = match to {
             Contact::Seed(addr) => Some(addr),
             Contact::Peer(id) => shared.members.load().get(&id).map(|r| r.rpc),
         };
+        // A few answers bring the members; the rest is learned from updates and by comparison.
+        let known = shared.members.load().len();
+        let members = known < KNOWN_AFTER_JOIN || self.joins_with_members < JOINS_WITH_MEMBERS;
+        self.joins_with_members += u32::from(members);
         self.shared.tasks.spawn(async move {
             let scope = shared.scope(&shared.snapshot());
             let reply = match addr {
-                Some(addr) => rpc::join(&shared, addr, scope).await.ok(),
+                Some(addr) => rpc::join(&shared, addr, scope, members).await.ok(),
                 None => None,
             };
             let Some(reply) = reply else {
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -20,7 +20,7 @@
 
 use crate::control::{Heard, PeersChanged};
 use crate::datagram::Datagram;
-use crate::rpc::{self, JoinReply};
+use crate::rpc::{self, JoinReply, JoinRequest};
 use crate::services::Instance;
 use crate::settings::{Faults, Settings};
 use crate::shared::Shared;
@@ -238,7 +238,7 @@
 /// Takes over the table of another member.
 pub(crate) struct Merge(pub(crate) Table);
 /// Asks for the answer to an instance that joins.
-pub(crate) struct MakeJoinReply(pub(crate) InstanceId, pub(crate) Scope);
+pub(crate) struct MakeJoinReply(pub(crate) JoinRequest);
 /// Takes over a table and asks for the own one in the sender's scope.
 pub(crate) struct Exchange(pub(crate) Scope, pub(crate) Table);
 
@@ -295,10 +295,14 @@
 
     async fn handle(
         &mut self,
-        MakeJoinReply(id, scope): MakeJoinReply,
+        MakeJoinReply(req): MakeJoinReply,
         _: &mut Context<Self, JoinReply>,
     ) -> JoinReply {
-        let member = self.member.join_answer(id, &scope);
+        let mut member = self.member.join_answer(req.id, &req.scope);
+        if !req.members {
+            member.contacts.clear();
+            member.table = Table::default();
+        }
         JoinReply {
             from: self.shared.id,
             active: self.shared.active(),
--- a/crates/node/src/rpc.rs
+++ b/crates/node/src/rpc.rs
@@ -83,6 +83,8 @@
 pub(crate) struct JoinRequest {
     pub(crate) id: InstanceId,
     pub(crate) scope: Scope,
+    /// Whether the answer shall carry the members.
+    pub(crate) members: bool,
 }
 
 /// Answers a [`JoinRequest`].
@@ -165,13 +167,9 @@
 
 impl Transfer for Server {
     async fn join(self, _: context::Context, req: Sealed) -> Option<Sealed> {
-        let JoinRequest { id, scope } = self.open(&req, "join")?;
+        let req: JoinRequest = self.open(&req, "join")?;
         let links = self.shared.links.get()?;
-        let reply = links
-            .gossip
-            .ask(gossip::MakeJoinReply(id, scope))
-            .await
-            .ok()?;
+        let reply = links.gossip.ask(gossip::MakeJoinReply(req)).await.ok()?;
         self.reply(&reply, "joined")
     }
 
@@ -273,10 +271,12 @@
     shared: &Shared,
     to: SocketAddr,
     scope: Scope,
+    members: bool,
 ) -> Result<JoinReply, RpcError> {
     let req = JoinRequest {
         id: shared.id,
         scope,
+        members,
     };
     let call = async |c: TransferClient, req| c.join(context::current(), req).await;
     exchange_sealed(shared, to, &req, ("join", "joined"), call).await
