--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -11,6 +11,7 @@
 Usage:
     briarlug <command> [options]
     briarlug help <command>
+    briarlug --version
 
 Commands:
     node      Run a node beside a target.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -34,7 +34,11 @@
 /// Handles a command line that names no command.
 pub(crate) fn without_command(mut args: Arguments) -> Result<()> {
     let _ = args.contains(["-h", "--help"]);
-    util::finish(args, &["--help"])?;
+    let version = args.contains(["-V", "--version"]);
+    util::finish(args, &["--help", "--version"])?;
+    if version {
+        return util::print_out(concat!("briarlug ", env!("CARGO_PKG_VERSION"), "\n"));
+    }
     util::print_out(help::USAGE)
 }
 
--- a/tests/help.rs
+++ b/tests/help.rs
@@ -51,7 +51,10 @@
             "unknown command 'chekc'; did you mean 'check'?",
         ),
         (&["help", "check", "more"], "unexpected argument 'more'"),
-        (&["--versoin"], "unknown option '--versoin'; see"),
+        (
+            &["--versoin"],
+            "unknown option '--versoin'; did you mean '--version'?; see",
+        ),
         (&["check"], "a FILE is needed"),
         (&["check", "a", "b", "c"], "unexpected argument 'c'"),
         (
@@ -136,3 +139,13 @@
     let status = cmd.arg("stauts").stderr(writer).status().unwrap();
     expect_that!(status.code(), some(eq(2)));
 }
+
+/// Guards against builds that can't be told apart.
+#[gtest]
+fn the_version_is_printed() {
+    let wrk = Workdir::new("help-version");
+    let out = wrk.command("--version").output().unwrap();
+    expect_that!(out.status.code(), some(eq(0)));
+    let expected = concat!("briarlug ", env!("CARGO_PKG_VERSION"), "\n");
+    expect_that!(stdout(&out).as_str(), eq(expected));
+}
