Keep the content type of an answer for repeats

Cause: running the trial of the README by hand showed that a repeat got the kept body without its content type. Change: a kept answer begins with it. Before: the extended test fails, content type None. After: tests node and requests pass (21 tests). The README's trial is the one that was run.

--- a/crates/node/src/once.rs
+++ b/crates/node/src/once.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use axum::body::Body;
-use axum::http::{HeaderValue, StatusCode};
+use axum::http::{HeaderValue, StatusCode, header};
 use axum::response::Response;
 use bytes::Bytes;
 use claim::{Answer, ClaimEvent, ReqId};
@@ -175,7 +175,7 @@
     let addr = res.remote_addr();
     *out.body_mut() = Body::from_stream(receiver_stream(rx, shared.in_progress()));
     let _ = head.send(Ok(out));
-    let mut answer = Vec::new();
+    let mut answer = kept_head(&res);
     let mut pieces = res.bytes_stream();
     while let Some(piece) = pieces.next().await {
         let Ok(piece) = piece else {
@@ -211,10 +211,36 @@
     })
 }
 
+/// Begins a kept answer: the length of its content type in one byte, then the content type.
+fn kept_head(res: &reqwest::Response) -> Vec<u8> {
+    let value = res.headers().get(header::CONTENT_TYPE);
+    let content_type = value.map_or(&[][..], HeaderValue::as_bytes);
+    match u8::try_from(content_type.len()) {
+        Ok(n) => [&[n], content_type].concat(),
+        Err(_) => vec![0],
+    }
+}
+
 fn kept(answer: Answer) -> Response {
-    let mut res = Response::new(Body::from(answer.body));
+    let (content_type, body) = split_kept(&answer.body);
+    let mut res = Response::new(Body::from(body.to_vec()));
     *res.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
-    res.headers_mut()
-        .insert("idempotency-replayed", HeaderValue::from_static("true"));
+    let headers = res.headers_mut();
+    if let Some(value) = content_type {
+        headers.insert(header::CONTENT_TYPE, value);
+    }
+    headers.insert("idempotency-replayed", HeaderValue::from_static("true"));
     res
 }
+
+/// Takes apart what [`kept_head`] began.
+fn split_kept(raw: &[u8]) -> (Option<HeaderValue>, &[u8]) {
+    let split = raw
+        .split_first()
+        .and_then(|(n, rest)| rest.split_at_checked(usize::from(*n)));
+    let Some((content_type, body)) = split else {
+        return (None, raw);
+    };
+    let value = HeaderValue::from_bytes(content_type).ok();
+    (value.filter(|v| !v.is_empty()), body)
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -69,6 +69,11 @@
     for res in [first, second, third] {
         let res = res.unwrap();
         assert_that!(res.status().as_u16(), eq(200));
+        let content_type = res.headers().get("content-type");
+        assert_that!(
+            content_type.map(|v| v.as_bytes()),
+            some(eq(b"text/plain; charset=utf-8"))
+        );
         assert_that!(
             res.text().await.unwrap().as_str(),
             eq("path=/titles/7 received=5\n")
