--- a/crates/node/src/rpc.rs
+++ b/crates/node/src/rpc.rs
@@ -29,7 +29,7 @@
 
 /// Largest frame; a text has at most 1 MiB, a table of 19,000 records about 2.5 MiB.
 const MAX_FRAME_BYTES: usize = 4 << 20;
-/// Transfers served at once; more wait in the listener's queue, which bounds memory in a herd.
+/// Transfers served at once; more wait in the listener's queue, which bounds memory when many nodes start.
 const MAX_CONNECTIONS: usize = 64;
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// A peer sends its request at once. Connections without one must not keep others waiting.
