--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -10,6 +10,8 @@
 //! - `reserve`: slots that long work leaves to short work.
 //! - `fair`: fair shares between callers.
 //! - `sojourn`: overload detection by time in the queue.
+//! - `target_queue`: one queue a target, ordered by priority and objective, for deployments whose
+//!   routes state both.
 
 mod admission;
 mod classes;
@@ -19,7 +21,9 @@
 mod offer;
 mod reserve;
 mod sojourn;
+mod target_queue;
 
 pub use admission::Admission;
 pub use limits::{Limits, Reserve, Tuning};
 pub use offer::{Class, Event, Finish, Key, Offer, Verdict};
+pub use target_queue::{Admit, Ended, Job, JobKey, QueueState, RouteId, Settled, TargetQueue};
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -14,6 +14,7 @@
 mod raw;
 mod record;
 mod rejection;
+mod routing;
 mod snapshot;
 mod table;
 
@@ -26,4 +27,8 @@
 };
 pub use record::{Checkpoint, Outcome, Publication, RECORD_FORMAT, Record, RecordError, Settled};
 pub use rejection::Rejection;
+pub use routing::{
+    CallerLimits, MAX_TABLE_ROUTES, RawRouting, RawRule, RawService, RoutedService, Routing,
+    RoutingError, Rule,
+};
 pub use snapshot::{Class, Methods, Repeat, Route, Scope, Service, Snapshot};
--- /dev/null
+++ b/crates/config/src/routing.rs
@@ -0,0 +1,299 @@
+//! The routing table of deployments whose versions are numbered by the operator's own store.
+//!
+//! [`RawRouting`] is what a source of versions delivers, [`Routing`] its checked and indexed form.
+//! A version is taken whole or not at all.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use snafu::{Snafu, ensure};
+use wire::{ServiceName, Version};
+
+use crate::snapshot::Repeat;
+
+/// Most routes of one table; bounds the memory of a node.
+pub const MAX_TABLE_ROUTES: usize = 20_000;
+/// Largest weight of one part of a split.
+const MAX_WEIGHT: u32 = 1_000_000;
+
+/// A routing table as a source of versions delivers it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RawRouting {
+    /// Number of the version.
+    pub version: u64,
+    /// Routes in any order.
+    pub routes: Vec<RawRule>,
+    /// Names of the services.
+    pub services: Vec<RawService>,
+    /// Limits for callers.
+    pub limits: CallerLimits,
+}
+
+/// A route as a source of versions delivers it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RawRule {
+    /// Name of the route.
+    pub name: String,
+    /// Host that the route belongs to.
+    pub host: String,
+    /// Path prefix; begins and ends with a slash.
+    pub prefix: String,
+    /// Services with their weights.
+    pub split: Vec<(String, u32)>,
+    /// Whether requests may run more than once.
+    pub repeat: Repeat,
+    /// Longest time that a caller is kept waiting, in milliseconds.
+    pub timeout_ms: Option<u64>,
+    /// Time within which an answer has its full value, in milliseconds.
+    pub objective_ms: Option<u64>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Most targets to which one request may be sent.
+    pub max_attempts: u32,
+}
+
+/// A service as a source of versions delivers it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RawService {
+    /// Name of the service.
+    pub name: String,
+    /// Path of its health endpoint.
+    pub health_path: String,
+    /// Connections that one target takes, from all callers together.
+    pub max_connections: u32,
+}
+
+/// What callers may send and how long they may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest request head in bytes.
+    pub header_bytes: usize,
+    /// Largest request body in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a request head.
+    pub header_timeout: Duration,
+    /// Longest time that a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    /// The limits that hold until a version is known: those of common HTTP servers.
+    fn default() -> Self {
+        CallerLimits {
+            header_bytes: 16 << 10,
+            body_bytes: 64 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(60),
+        }
+    }
+}
+
+/// Why a routing table was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum RoutingError {
+    /// The version number is zero.
+    #[snafu(display("the version number is 0"))]
+    NoVersion,
+    /// The table has too many routes.
+    #[snafu(display("{routes} routes, at most {MAX_TABLE_ROUTES} are allowed"))]
+    TooManyRoutes {
+        /// Number of routes.
+        routes: usize,
+    },
+    /// A route breaks a rule.
+    #[snafu(display("route {route:?}: {reason}"))]
+    Route {
+        /// Name of the route.
+        route: String,
+        /// What is wrong.
+        reason: &'static str,
+    },
+    /// A route names a service that the table lacks.
+    #[snafu(display("route {route:?} names the service {service:?}, which the table lacks"))]
+    UnknownService {
+        /// Name of the route.
+        route: String,
+        /// Name of the service.
+        service: String,
+    },
+}
+
+/// A checked route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rule {
+    /// Name of the route.
+    pub name: Arc<str>,
+    /// Services with their weights; at least one has a weight above zero.
+    pub split: Vec<(ServiceName, u32)>,
+    /// Whether requests may run more than once.
+    pub repeat: Repeat,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Option<Duration>,
+    /// Time within which an answer has its full value.
+    pub objective: Option<Duration>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Most targets to which one request may be sent; at least 1.
+    pub max_attempts: u32,
+}
+
+/// A checked service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoutedService {
+    /// Path of the health endpoint.
+    pub health_path: Arc<str>,
+    /// Connections that one target takes.
+    pub max_connections: u32,
+}
+
+/// A checked routing table of one version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Routing {
+    version: Version,
+    /// Rules by host and prefix.
+    hosts: HashMap<Box<str>, HashMap<Box<str>, Arc<Rule>>>,
+    services: HashMap<ServiceName, RoutedService>,
+    limits: CallerLimits,
+}
+
+impl TryFrom<RawRouting> for Routing {
+    type Error = RoutingError;
+
+    fn try_from(raw: RawRouting) -> Result<Routing, RoutingError> {
+        ensure!(raw.version > 0, NoVersionSnafu);
+        let routes = raw.routes.len();
+        ensure!(routes <= MAX_TABLE_ROUTES, TooManyRoutesSnafu { routes });
+        let services: HashMap<_, _> = raw.services.into_iter().map(checked_service).collect();
+        let mut hosts: HashMap<Box<str>, HashMap<Box<str>, Arc<Rule>>> = HashMap::new();
+        for route in raw.routes {
+            let host = route.host.to_ascii_lowercase().into_boxed_str();
+            let prefix = route.prefix.clone().into_boxed_str();
+            let name = route.name.clone();
+            let rule = checked_rule(route, &services)?;
+            let taken = hosts.entry(host).or_default().insert(prefix, rule.into());
+            ensure!(
+                taken.is_none(),
+                RouteSnafu {
+                    route: name,
+                    reason: "another route has the same host and prefix"
+                }
+            );
+        }
+        Ok(Routing {
+            version: Version(raw.version),
+            hosts,
+            services,
+            limits: raw.limits,
+        })
+    }
+}
+
+fn checked_service(raw: RawService) -> (ServiceName, RoutedService) {
+    let service = RoutedService {
+        health_path: raw.health_path.into(),
+        max_connections: raw.max_connections,
+    };
+    (raw.name.as_str().into(), service)
+}
+
+fn checked_rule(
+    raw: RawRule,
+    services: &HashMap<ServiceName, RoutedService>,
+) -> Result<Rule, RoutingError> {
+    let fail = |reason| RoutingError::Route {
+        route: raw.name.clone(),
+        reason,
+    };
+    if raw.host.is_empty() {
+        return Err(fail("the host is empty"));
+    }
+    if !raw.prefix.starts_with('/') || !raw.prefix.ends_with('/') {
+        return Err(fail("the prefix must begin and end with a slash"));
+    }
+    if raw.timeout_ms == Some(0) {
+        return Err(fail("the timeout is 0"));
+    }
+    if raw.split.iter().any(|(_, w)| *w > MAX_WEIGHT) {
+        return Err(fail("a weight is too large"));
+    }
+    if !raw.split.iter().any(|(_, w)| *w > 0) {
+        return Err(fail("no service has a weight above 0"));
+    }
+    let mut split = Vec::with_capacity(raw.split.len());
+    for (service, weight) in raw.split {
+        let known = ServiceName::from(service.as_str());
+        if !services.contains_key(&known) {
+            let route = raw.name;
+            return Err(RoutingError::UnknownService { route, service });
+        }
+        split.push((known, weight));
+    }
+    Ok(Rule {
+        name: raw.name.into(),
+        split,
+        repeat: raw.repeat,
+        timeout: raw.timeout_ms.map(Duration::from_millis),
+        objective: raw.objective_ms.map(Duration::from_millis),
+        priority: raw.priority,
+        max_attempts: raw.max_attempts.max(1),
+    })
+}
+
+impl Routing {
+    /// Returns the number of the version.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Returns the limits for callers.
+    pub fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// Returns the service `name`, if the table has it.
+    pub fn service(&self, name: &ServiceName) -> Option<&RoutedService> {
+        self.services.get(name)
+    }
+
+    /// Returns the routes in any order.
+    pub fn rules(&self) -> impl Iterator<Item = &Arc<Rule>> {
+        self.hosts.values().flat_map(HashMap::values)
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(HashMap::len).sum()
+    }
+
+    /// Returns whether the table has no routes.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Returns the route of `host` with the longest prefix that begins `path`.
+    ///
+    /// `host` may carry a port and is compared without case; `path` is without its query.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Rule>> {
+        let name = without_port(host);
+        let rules = match self.hosts.get(name) {
+            Some(rules) => rules,
+            None => self.hosts.get(name.to_ascii_lowercase().as_str())?,
+        };
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            if let Some(rule) = rules.get(&path[..=slash]) {
+                return Some(rule);
+            }
+            end = slash;
+        }
+        None
+    }
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- /dev/null
+++ b/crates/config/tests/routing.rs
@@ -0,0 +1,84 @@
+//! The routing table: choice of the route, and refusal of bad versions as a whole.
+
+use config::{CallerLimits, RawRouting, RawRule, RawService, Repeat, Routing, RoutingError};
+
+fn rule(name: &str, host: &str, prefix: &str, service: &str) -> RawRule {
+    RawRule {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        split: vec![(service.into(), 1)],
+        repeat: Repeat::Safe,
+        timeout_ms: Some(1_000),
+        objective_ms: Some(300),
+        priority: 1,
+        max_attempts: 2,
+    }
+}
+
+fn table(routes: Vec<RawRule>) -> Result<Routing, RoutingError> {
+    let services = ["view", "desk"].map(|name| RawService {
+        name: name.into(),
+        health_path: "/health".into(),
+        max_connections: 10,
+    });
+    RawRouting {
+        version: 3,
+        routes,
+        services: services.into(),
+        limits: CallerLimits::default(),
+    }
+    .try_into()
+}
+
+fn found<'a>(t: &'a Routing, host: &str, path: &str) -> Option<&'a str> {
+    t.find(host, path).map(|r| &*r.name)
+}
+
+/// Guards against a shorter prefix that hides a longer one, and against prefixes that match
+/// within a path segment.
+#[test]
+fn longest_prefix_of_whole_segments_wins() {
+    let t = table(vec![
+        rule("a", "x.example", "/one/", "view"),
+        rule("b", "x.example", "/one/two/", "desk"),
+        rule("c", "y.example", "/", "desk"),
+    ])
+    .unwrap();
+    let cases = [
+        ("x.example", "/one/2f", Some("a")),
+        ("x.example", "/one/two/2f", Some("b")),
+        ("x.example", "/one/two", Some("a")),
+        ("x.example", "/one", None),
+        ("x.example", "/onetwo/2f", None),
+        ("X.Example:80", "/one/two/three/4", Some("b")),
+        ("y.example", "/anything", Some("c")),
+        ("z.example", "/one/2f", None),
+        ("x.example", "", None),
+        ("x.example", "*", None),
+    ];
+    for (host, path, expected) in cases {
+        assert_eq!(found(&t, host, path), expected, "{host}{path}");
+    }
+}
+
+/// Guards against a version that is applied although a part of it is wrong.
+#[test]
+fn a_bad_route_refuses_the_whole_table() {
+    type Spoil = fn(&mut RawRule);
+    let cases: [(&str, Spoil); 7] = [
+        ("empty host", |r| r.host.clear()),
+        ("prefix without slash", |r| r.prefix = "/one".into()),
+        ("unknown service", |r| r.split[0].0 = "gone".into()),
+        ("no weight", |r| r.split[0].1 = 0),
+        ("no part", |r| r.split.clear()),
+        ("zero timeout", |r| r.timeout_ms = Some(0)),
+        ("same place", |r| r.prefix = "/one/".into()),
+    ];
+    for (what, spoil) in cases {
+        let mut bad = rule("bad", "x.example", "/two/", "desk");
+        spoil(&mut bad);
+        let good = rule("good", "x.example", "/one/", "view");
+        assert!(table(vec![good, bad]).is_err(), "{what}");
+    }
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -13,6 +13,7 @@
 mod join;
 mod machine;
 mod message;
+mod own_target;
 mod queue;
 mod record;
 mod ring;
@@ -30,5 +31,6 @@
     Body, MAX_EPOCH, MAX_MSG_BYTES, MAX_UPDATES, Msg, NODE_BYTES, RawMsg, Rumour,
     SEAL_HEADER_BYTES, Sync, Update,
 };
+pub use own_target::{LifeId, OwnTarget, Reported, TargetReport, TargetState};
 pub use record::{MAX_INCARNATION, MAX_NAME_BYTES, MAX_SLOTS, RawRecord, Record, State, WireError};
 pub use table::CONTACTS_PER_DOMAIN;
--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -11,9 +11,13 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// An append that takes longer counts as unanswered.
-const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
+pub const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
+/// Idle time before the first keep-alive probe and between probes. Two lost probes after one
+/// interval show a dead connection within 1.5 s, inside the 2 s in which a version must be applied.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const PROBES: u32 = 2;
 /// Added to the wait of a long poll.
-const READ_MARGIN: Duration = Duration::from_secs(2);
+pub const READ_MARGIN: Duration = Duration::from_secs(2);
 
 /// Client of a log that offers `POST /streams/{name}` and `GET /streams/{name}`.
 #[derive(Clone, Debug)]
@@ -48,12 +52,7 @@
     ///
     /// Fails when `base` isn't a URL with a path, or when the HTTP client can't be set up.
     pub fn new(base: &str) -> Result<HttpLog, ClientError> {
-        let client = reqwest::Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
-            .no_proxy()
-            .build()
-            .context(ClientSnafu)?;
+        let client = http_client()?;
         let base = parse_base(base)?;
         Ok(HttpLog { base, client })
     }
@@ -74,15 +73,7 @@
         records: Vec<Vec<u8>>,
     ) -> Result<Offset, LogError> {
         let req = self.client.post(self.url(stream)).timeout(APPEND_TIMEOUT);
-        let sent = req.json(&Append::from(records)).send().await;
-        let res = sent.map_err(|e| {
-            // A failed connect is the one transport error after which nothing can be written.
-            if e.is_connect() {
-                LogError::Refused { status: 503 }
-            } else {
-                no_answer(e)
-            }
-        })?;
+        let res = sent(req.json(&Append::from(records)).send().await)?;
         let appended: Appended = success(res)?.json().await.map_err(no_answer)?;
         Ok(Offset(appended.first))
     }
@@ -128,7 +119,46 @@
     }
 }
 
-fn parse_base(base: &str) -> Result<Url, ClientError> {
+/// Makes the HTTP client of a log. A connection that has gone silent is found by probes of the
+/// kernel, since a long poll gives no other sign of it.
+///
+/// # Errors
+///
+/// Fails when the HTTP library can't be set up.
+pub fn http_client() -> Result<reqwest::Client, ClientError> {
+    reqwest::Client::builder()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .tcp_keepalive(PROBE_INTERVAL)
+        .tcp_keepalive_interval(PROBE_INTERVAL)
+        .tcp_keepalive_retries(PROBES)
+        .no_proxy()
+        .build()
+        .context(ClientSnafu)
+}
+
+/// Classifies the failure of an append before any answer.
+///
+/// # Errors
+///
+/// Fails when `sent` did. A failed connect is the one transport error after which nothing can be
+/// written.
+pub fn sent(sent: reqwest::Result<Response>) -> Result<Response, LogError> {
+    sent.map_err(|e| {
+        if e.is_connect() {
+            LogError::Refused { status: 503 }
+        } else {
+            no_answer(e)
+        }
+    })
+}
+
+/// Reads the base URL of a log.
+///
+/// # Errors
+///
+/// Fails when `base` isn't a URL that can have a path.
+pub fn parse_base(base: &str) -> Result<Url, ClientError> {
     let fail = |reason: String| ClientError::Base {
         url: base.to_owned(),
         reason,
@@ -140,7 +170,12 @@
     Ok(url)
 }
 
-fn success(res: Response) -> Result<Response, LogError> {
+/// Returns `res` if its status says success.
+///
+/// # Errors
+///
+/// Fails otherwise, and says whether the call may have had an effect.
+pub fn success(res: Response) -> Result<Response, LogError> {
     let status = res.status();
     if status.is_success() {
         return Ok(res);
@@ -163,7 +198,8 @@
         || (status.is_client_error() && status != StatusCode::REQUEST_TIMEOUT)
 }
 
-fn no_answer(e: impl std::fmt::Display) -> LogError {
+/// Makes the error of a call without a usable answer.
+pub fn no_answer(e: impl std::fmt::Display) -> LogError {
     LogError::NoAnswer {
         reason: e.to_string(),
     }
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -4,6 +4,7 @@
 //! protocol needs one more implementation of it and nothing else.
 
 mod http;
+mod keyed;
 mod message;
 
 use std::fmt;
@@ -14,7 +15,11 @@
 use snafu::Snafu;
 use wire::Offset;
 
-pub use http::HttpLog;
+pub use http::{
+    APPEND_TIMEOUT, ClientError, HttpLog, READ_MARGIN, http_client, no_answer, parse_base, sent,
+    success,
+};
+pub use keyed::{Keyed, KeyedError, KeyedLog, MAX_KEY_BYTES, Newest, decode_keyed, encode_keyed};
 pub use message::{Append, Appended, Page, PageRecord};
 
 /// A boxed future, so that [`Log`] can be used as a trait object.
--- /dev/null
+++ b/crates/proxy/src/attempts.rs
@@ -0,0 +1,257 @@
+//! The attempts to have one request served: which instance, and whether another one may be tried.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ops::Metric;
+use route::{Candidate, place, time_to_room};
+use tarpc::context::Context;
+use wire::{Code, Refusal, Time};
+
+use crate::beside;
+use crate::entry::Pending;
+use crate::message::{Answer, Call, Failure, Outcome, Reply};
+use crate::peers::PeerKey;
+use crate::shared::Shared;
+
+/// Nodes that may refuse a request before the caller is refused. A third one rarely has room when
+/// the two that seemed best have none, and asking takes time that a refusal should not.
+const MAX_BOUNCES: u32 = 2;
+
+/// What the caller gets.
+#[derive(Debug)]
+pub(crate) enum Final {
+    /// The answer of a target.
+    Answer {
+        /// The answer.
+        answer: Answer,
+        /// Targets that the request was sent to.
+        sends: u32,
+    },
+    /// An answer of the node itself.
+    Refused {
+        /// Why.
+        refusal: Refusal,
+        /// Whether a target may have run the request.
+        maybe_ran: bool,
+        /// Targets that the request was sent to.
+        sends: u32,
+        /// Instances of the service that were known.
+        known: usize,
+    },
+}
+
+/// Where a request can go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// The target beside this node.
+    Own,
+    /// The target beside another node.
+    Peer(PeerKey),
+}
+
+/// What has happened so far.
+#[derive(Debug, Default)]
+struct Progress {
+    avoid: Vec<Place>,
+    bounces: u32,
+    sends: u32,
+    maybe_ran: bool,
+    known: usize,
+    /// A failure that a target answered, in case that no other one does better.
+    answer: Option<Answer>,
+}
+
+/// Tries instances until one answers, the rules forbid another one, or the time is up.
+pub(crate) async fn run(shared: &Arc<Shared>, pending: &Pending) -> Final {
+    let mut progress = Progress::default();
+    let left = pending.limit.since(shared.now());
+    let done = tokio::time::timeout(left, tries(shared, pending, &mut progress)).await;
+    match done {
+        Ok(done) => done,
+        // The last attempt may have reached a target.
+        Err(_) => Final::Refused {
+            refusal: Code::TargetTimeout.into(),
+            maybe_ran: true,
+            sends: progress.sends,
+            known: progress.known,
+        },
+    }
+}
+
+async fn tries(shared: &Arc<Shared>, pending: &Pending, progress: &mut Progress) -> Final {
+    loop {
+        let now = shared.now();
+        let candidates = candidates(shared, pending, now);
+        progress.known = candidates.len();
+        let room = time_to_room(&candidates);
+        let open: Vec<_> = candidates
+            .into_iter()
+            .filter(|c| !progress.avoid.contains(&c.key))
+            .collect();
+        let body = pending.call.body.len();
+        let chosen = place(&mut *shared.rng.lock(), &open, body);
+        let Some(chosen) = chosen else {
+            return progress.refused(Code::NoInstance.into(), Some(room));
+        };
+        let outcome = attempt(shared, pending, chosen, now).await;
+        if let Some(done) = next(shared, pending, progress, chosen, outcome, room) {
+            return done;
+        }
+    }
+}
+
+/// Decides after an attempt whether another one follows.
+fn next(
+    shared: &Shared,
+    pending: &Pending,
+    progress: &mut Progress,
+    place: Place,
+    outcome: Outcome,
+    room: Duration,
+) -> Option<Final> {
+    match outcome {
+        Outcome::Answer(answer) => {
+            progress.sends += 1;
+            let failed = answer.status >= 500;
+            if failed && pending.call.repeatable && progress.may_send(shared, pending) {
+                progress.maybe_ran = true;
+                progress.avoid.push(place);
+                progress.answer = Some(answer);
+                return None;
+            }
+            let sends = progress.sends;
+            Some(Final::Answer { answer, sends })
+        }
+        Outcome::Refused(r) => {
+            let refusal = Refusal::from(r);
+            progress.avoid.push(place);
+            progress.bounces += 1;
+            if progress.bounces >= MAX_BOUNCES {
+                return Some(progress.refused(refusal, Some(room)));
+            }
+            None
+        }
+        Outcome::Shed => {
+            progress.sends += 1;
+            if progress.may_send(shared, pending) {
+                progress.avoid.push(place);
+                return None;
+            }
+            Some(progress.refused(Code::QueueFull.into(), Some(room)))
+        }
+        Outcome::Failed(f) => {
+            progress.sends += 1;
+            progress.maybe_ran = true;
+            if pending.call.repeatable && progress.may_send(shared, pending) {
+                // A kept connection that broke says nothing against the target.
+                if f != Failure::KeptConnection {
+                    progress.avoid.push(place);
+                }
+                return None;
+            }
+            Some(progress.refused(f.code().into(), None))
+        }
+    }
+}
+
+impl Progress {
+    /// Returns whether the request may be sent to one more target.
+    fn may_send(&self, shared: &Shared, pending: &Pending) -> bool {
+        let now = shared.now();
+        let allowed = self.sends < pending.rule.max_attempts
+            && now < pending.limit
+            && shared.may_repeat(now, &pending.call.service);
+        if allowed {
+            shared.metrics.count(Metric::Retries);
+        }
+        allowed
+    }
+
+    fn refused(&mut self, refusal: Refusal, room: Option<Duration>) -> Final {
+        if let Some(answer) = self.answer.take() {
+            let sends = self.sends;
+            return Final::Answer { answer, sends };
+        }
+        Final::Refused {
+            refusal: Refusal {
+                retry_after: room,
+                ..refusal
+            },
+            maybe_ran: self.maybe_ran,
+            sends: self.sends,
+            known: self.known,
+        }
+    }
+}
+
+fn candidates(shared: &Shared, pending: &Pending, now: Time) -> Vec<Candidate<Place>> {
+    let service = &pending.call.service;
+    let domain = &shared.settings.domain;
+    let others = shared.peers.lock().candidates(now, service, domain);
+    let mut all: Vec<_> = others
+        .into_iter()
+        .filter(|c| c.load.slots > 0)
+        .map(|c| Candidate {
+            key: Place::Peer(c.key),
+            near: c.near,
+            load: c.load,
+            sent_since: c.sent_since,
+            service: c.service,
+            failing: c.failing,
+            silent: c.silent,
+        })
+        .collect();
+    if shared.service() == *service {
+        let own = shared.queue_state(now);
+        if own.load.slots > 0 {
+            all.push(Candidate {
+                key: Place::Own,
+                near: true,
+                load: own.load,
+                sent_since: 0,
+                service: own.service,
+                failing: f64::from(own.failing),
+                silent: false,
+            });
+        }
+    }
+    all
+}
+
+async fn attempt(shared: &Arc<Shared>, pending: &Pending, place: Place, now: Time) -> Outcome {
+    let mut call = pending.call.clone();
+    call.left_ms = millis(pending.limit.since(now));
+    call.due_ms = i64::try_from(millis(pending.due.since(now))).unwrap_or(i64::MAX);
+    match place {
+        Place::Own => beside::run(shared, call).await.outcome,
+        Place::Peer(key) => call_peer(shared, key, call, pending.limit.since(now)).await,
+    }
+}
+
+async fn call_peer(shared: &Shared, key: PeerKey, call: Call, left: Duration) -> Outcome {
+    let client = {
+        let mut peers = shared.peers.lock();
+        peers.sent(key);
+        peers.client(key)
+    };
+    let Some(client) = client else {
+        return Outcome::Refused(Refusal::from(Code::NoInstance).into());
+    };
+    let mut cx = Context::current();
+    cx.deadline = std::time::Instant::now() + left;
+    match client.call(cx, call).await {
+        Ok(Reply { queue, outcome }) => {
+            shared.peers.lock().queue(key, queue.into());
+            outcome
+        }
+        Err(e) => {
+            log::info!(event = "peer_call_failed", error:% = e; "the node beside the target was lost");
+            Outcome::Failed(Failure::PeerLost)
+        }
+    }
+}
+
+fn millis(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/proxy/src/beside.rs
@@ -0,0 +1,378 @@
+//! The side of a node that faces its target: admission, hand-over, and what the answer means.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use admit::{Admit, Ended, Job, JobKey};
+use bytes::Bytes;
+use config::Repeat;
+use http::{HeaderValue, Method, Request, StatusCode, header};
+use http_body_util::Full;
+use member::Reported;
+use ops::Metric;
+use tokio::sync::oneshot;
+use wire::{Code, Fingerprint, Incarnation, InstanceId, Refusal, Time};
+
+use crate::latency::Span;
+use crate::message::{Answer, Call, Failure, Outcome, Reply, StrikeNote};
+use crate::names;
+use crate::shared::{Phase, Shared};
+use crate::upstream::{Received, Reuse, SendError};
+
+/// Part of the expected service time that must be left when a request starts, as in the queue.
+const START_MARGIN: f64 = 0.7;
+
+/// Runs a request of this or another node at the target.
+pub(crate) async fn run(shared: &Arc<Shared>, call: Call) -> Reply {
+    let call = Arc::new(call);
+    let outcome = match admitted(shared, &call).await {
+        Ok(mut slot) => hand_over(shared, &mut slot).await,
+        Err(refusal) => Outcome::Refused(refusal.into()),
+    };
+    log_outcome(&call, &outcome);
+    Reply {
+        queue: shared.queue_state(shared.now()).into(),
+        outcome,
+    }
+}
+
+/// A slot of the target. Dropping it gives the slot to the next request.
+struct Slot {
+    shared: Arc<Shared>,
+    key: JobKey,
+    call: Arc<Call>,
+    deadline: Time,
+    ended: Ended,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        {
+            let mut target = self.shared.target.lock();
+            target.queue.end(now, self.key, self.ended);
+            target.running.remove(self.key);
+            target.waiters.remove(self.key);
+        }
+        self.shared.settle(now);
+    }
+}
+
+async fn admitted(shared: &Arc<Shared>, call: &Arc<Call>) -> Result<Slot, Refusal> {
+    let now = shared.now();
+    check(shared, call, now)?;
+    let deadline = now + Duration::from_millis(call.left_ms);
+    let due = now + Duration::from_millis(u64::try_from(call.due_ms).unwrap_or(0));
+    let job = Job {
+        route: call.route,
+        priority: call.priority,
+        due,
+        deadline,
+    };
+    let (key, started, service) = {
+        let mut target = shared.target.lock();
+        let service = target.queue.service_of(call.route);
+        match target.queue.offer(now, job) {
+            Admit::Run(key) => (key, None, service),
+            Admit::Wait(key) => {
+                let (tx, rx) = oneshot::channel();
+                target.waiters.insert(key, tx);
+                (key, Some(rx), service)
+            }
+            Admit::Refuse(refusal) => return Err(refusal),
+        }
+    };
+    // From here on the guard gives the place back, also when the caller leaves.
+    let slot = Slot {
+        shared: shared.clone(),
+        key,
+        call: call.clone(),
+        deadline,
+        ended: Ended::Dropped,
+    };
+    if let Some(started) = started {
+        let latest = deadline
+            .since(now)
+            .saturating_sub(service.mul_f64(START_MARGIN));
+        match tokio::time::timeout(latest, started).await {
+            Ok(Ok(result)) => result?,
+            Ok(Err(_)) | Err(_) => return Err(Code::CannotStartInTime.into()),
+        }
+    }
+    shared
+        .latencies
+        .record(Span::Queue, shared.now().since(now));
+    shared.target.lock().running.insert(key, call.clone());
+    Ok(slot)
+}
+
+fn check(shared: &Shared, call: &Call, now: Time) -> Result<(), Refusal> {
+    if shared.phase() >= Phase::Refusing {
+        return Err(Code::Draining.into());
+    }
+    {
+        let target = shared.target.lock();
+        match target.own.usable() {
+            Some(report) if report.service == call.service => {}
+            Some(_) => return Err(Code::NoInstance.into()),
+            None if target.own.is_down() => return Err(Code::TargetDown.into()),
+            None => return Err(Code::Draining.into()),
+        }
+    }
+    if shared.is_quarantined(now, || fingerprint(call)) {
+        shared.metrics.count(Metric::Quarantined);
+        return Err(Code::Quarantined.into());
+    }
+    Ok(())
+}
+
+/// Hashes what a request that crashes targets has in common with its repeats.
+pub(crate) fn fingerprint(call: &Call) -> Fingerprint {
+    Fingerprint::of(&[
+        call.service.0.as_bytes(),
+        call.method.as_bytes(),
+        call.path.as_bytes(),
+        &call.body,
+    ])
+}
+
+async fn hand_over(shared: &Arc<Shared>, slot: &mut Slot) -> Outcome {
+    let started = shared.now();
+    // A request that has waited through a suspension of the machine is dropped, not run.
+    if slot.deadline <= started {
+        return Outcome::Refused(Refusal::from(Code::CannotStartInTime).into());
+    }
+    let Some(life) = shared.life_of_target() else {
+        return Outcome::Refused(Refusal::from(Code::TargetDown).into());
+    };
+    let Some(req) = request(shared, slot, &life.name, started) else {
+        return Outcome::Refused(Refusal::from(Code::BadHeader).into());
+    };
+    shared.metrics.count(Metric::HandedOver);
+    let reuse = if slot.call.repeatable {
+        Reuse::Any
+    } else {
+        Reuse::Careful
+    };
+    let left = slot.deadline.since(started);
+    let sent = shared.upstream.send(|| shared.now(), req, reuse);
+    let lost = shared.target_lost();
+    let received = tokio::select! {
+        r = tokio::time::timeout(left, sent) => r,
+        () = lost => Ok(Err(SendError::Broken)),
+    };
+    let now = shared.now();
+    let outcome = match received {
+        Ok(Ok(received)) => {
+            shared.latencies.record(Span::Target, now.since(started));
+            shared.target.lock().last_answer = now;
+            classify(shared, &slot.call, received, now)
+        }
+        Ok(Err(e)) => failed(shared, slot, e).await,
+        Err(_) => Outcome::Failed(Failure::Timeout),
+    };
+    slot.ended = ended(&outcome);
+    outcome
+}
+
+fn request(shared: &Shared, slot: &Slot, target: &str, now: Time) -> Option<Request<Full<Bytes>>> {
+    let call = &slot.call;
+    let names = &shared.settings.names;
+    let method = Method::from_bytes(call.method.as_bytes()).ok()?;
+    let mut req = Request::builder()
+        .method(method)
+        .uri(call.path.as_str())
+        .body(Full::new(call.body.clone()))
+        .ok()?;
+    let left = slot.deadline.since(now).as_millis();
+    let headers = req.headers_mut();
+    *headers = names::to_map(&call.headers);
+    headers.insert(&names.time_left_ms, HeaderValue::from(left as u64));
+    headers.insert(&names.expected_target, HeaderValue::from_str(target).ok()?);
+    Some(req)
+}
+
+/// Decides what an answer of the target means for the caller.
+fn classify(shared: &Shared, call: &Call, received: Received, now: Time) -> Outcome {
+    let names = &shared.settings.names;
+    let id = names::text(&received.headers, &names.request_id);
+    let not_run = received.headers.contains_key(&names.not_run);
+    if id.is_some_and(|id| id != call.request_id) {
+        log::warn!(event = "stray_answer", id = call.request_id.as_str(); "the target answered another request");
+        shared.upstream.distrust(now);
+        return Outcome::Failed(Failure::Broken);
+    }
+    if received.status == StatusCode::MISDIRECTED_REQUEST || not_run {
+        if let Some(target) = names::text(&received.headers, &names.target_id) {
+            note_target_id(shared, target, now);
+        }
+        return Outcome::Shed;
+    }
+    let proved = received.headers.contains_key(&names.answer_proof);
+    let encoded = received.headers.contains_key(header::CONTENT_ENCODING);
+    let unproved_success = received.status.is_success() && (!proved || id.is_none());
+    // Without the target's word that it has not run the request, these would promise too much.
+    let empty_promise = matches!(received.status.as_u16(), 408 | 429 | 503);
+    if unproved_success || encoded || empty_promise {
+        shared.upstream.distrust(now);
+        return Outcome::Failed(Failure::Broken);
+    }
+    let own = [&names.load, &names.target_id];
+    Outcome::Answer(Answer {
+        status: received.status.as_u16(),
+        headers: names::end_to_end(&received.headers, &own),
+        body: received.body,
+    })
+}
+
+/// Another target answers at the address: the known one is gone.
+fn note_target_id(shared: &Shared, id: &str, now: Time) {
+    let changed = {
+        let mut target = shared.target.lock();
+        let known = target.own.usable().is_some();
+        target.own.replaced_by(id);
+        known != target.own.usable().is_some()
+    };
+    if changed {
+        log::warn!(event = "target_replaced", id; "another target answers at the address");
+        shared.target_changed(now);
+    }
+}
+
+async fn failed(shared: &Arc<Shared>, slot: &Slot, e: SendError) -> Outcome {
+    let alive = match e {
+        SendError::Connect => false,
+        SendError::KeptConnection | SendError::Broken => shared.upstream.accepts().await,
+    };
+    if !alive {
+        target_down(shared);
+    }
+    match e {
+        SendError::Connect => {
+            shared.metrics.count(Metric::TargetConnectFailed);
+            Outcome::Refused(Refusal::from(Code::TargetDown).into())
+        }
+        SendError::KeptConnection | SendError::Broken => {
+            shared.metrics.count(Metric::TargetLost);
+            if !alive {
+                strike(shared, &slot.call);
+            }
+            Outcome::Failed(match e {
+                SendError::KeptConnection if alive => Failure::KeptConnection,
+                _ => Failure::Broken,
+            })
+        }
+    }
+}
+
+/// Notes that the target refuses connections. A report of the target ends that.
+pub(crate) fn target_down(shared: &Shared) {
+    let was_usable = {
+        let mut target = shared.target.lock();
+        let usable = target.own.usable().is_some();
+        target.own.connection_refused();
+        usable
+    };
+    if was_usable {
+        log::warn!(event = "target_down"; "the target takes no connections");
+        shared.upstream.reset();
+        shared.target_changed(shared.now());
+    }
+}
+
+/// Counts and tells that the target died while it ran the request.
+fn strike(shared: &Arc<Shared>, call: &Call) {
+    let target = shared.target.lock();
+    let Some(report) = target.own.present() else {
+        return;
+    };
+    let note = StrikeNote {
+        fingerprint: fingerprint(call),
+        target: InstanceId::of(&report.life.name).0,
+        started: report.life.started,
+    };
+    drop(target);
+    take_strike(shared, note);
+    for (_, client) in shared.peers.lock().clients() {
+        shared.tasks.spawn(async move {
+            // Strikes are hints: a node that misses one counts its own.
+            let _ = client.strike(tarpc::context::current(), note).await;
+        });
+    }
+}
+
+/// Counts a strike of this or another node.
+pub(crate) fn take_strike(shared: &Shared, note: StrikeNote) {
+    shared.metrics.count(Metric::Strikes);
+    let result = shared.quarantine.lock().strike(
+        shared.now(),
+        note.fingerprint,
+        InstanceId(note.target),
+        Incarnation(note.started.0),
+    );
+    if result == route::Strike::Quarantined {
+        log::warn!(event = "quarantine", fingerprint = note.fingerprint.0; "the request crashed targets and is refused from now on");
+    }
+}
+
+fn ended(outcome: &Outcome) -> Ended {
+    match outcome {
+        Outcome::Answer(a) if a.status < 500 => Ended::Answered,
+        Outcome::Answer(_) | Outcome::Shed | Outcome::Failed(_) => Ended::Failed,
+        Outcome::Refused(_) => Ended::Dropped,
+    }
+}
+
+/// Logs what is not an ordinary answer; the entry node logs each request.
+fn log_outcome(call: &Call, outcome: &Outcome) {
+    let id = call.request_id.as_str();
+    match outcome {
+        Outcome::Answer(_) => {}
+        Outcome::Refused(r) => {
+            let refusal = Refusal::from(*r);
+            log::debug!(event = "refused_beside", id, code = refusal.code.number(); "not handed to the target");
+        }
+        Outcome::Shed => {
+            log::info!(event = "shed", id; "the target has not run the request");
+        }
+        Outcome::Failed(f) => {
+            log::info!(event = "failed_beside", id, code = f.code().number(); "handed over, outcome unknown");
+        }
+    }
+}
+
+/// Returns whether requests of a route may be repeated.
+pub(crate) fn is_repeatable(repeat: Repeat) -> bool {
+    repeat == Repeat::Safe
+}
+
+/// Takes a report of the target and returns what it led to.
+pub(crate) fn report(shared: &Shared, report: &member::TargetReport) -> Reported {
+    let now = shared.now();
+    let (result, was_down) = {
+        let mut target = shared.target.lock();
+        let was_down = target.own.is_down();
+        let result = target.own.report(now, report);
+        if result == Reported::NewLife {
+            target.queue.restart();
+        }
+        (result, was_down)
+    };
+    if result == Reported::NewLife {
+        shared.upstream.reset();
+        shared.probe_health.notify_one();
+    }
+    if matches!(result, Reported::Changed | Reported::NewLife) || was_down {
+        log::info!(
+            event = "target_report",
+            target_id:% = report.life.name,
+            started = report.life.started.0,
+            sequence = report.sequence,
+            state:? = report.state,
+            result:? = result;
+            "what is known of the target has changed"
+        );
+        shared.target_changed(now);
+    }
+    result
+}
--- /dev/null
+++ b/crates/proxy/src/entry.rs
@@ -0,0 +1,353 @@
+//! Requests of callers, from their arrival to their answer.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use config::{Routing, Rule};
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use ops::Metric;
+use wire::{Code, Executed, Fingerprint, Refusal, ServiceName, Time};
+
+use crate::attempts::{self, Final};
+use crate::beside;
+use crate::latency::Span;
+use crate::message::{Answer, Call};
+use crate::names;
+use crate::shared::{Phase, Shared};
+
+/// Time allowed for a request whose caller and route name none.
+const DEFAULT_TIME: Duration = Duration::from_secs(30);
+/// Part of the process's memory that request bodies may take.
+const BODY_MEMORY_SHARE: usize = 4;
+/// Callers honour an advice to come back within a third of the time that they have left.
+const RETRY_AFTER_SHARE: f64 = 0.33;
+/// Shortest advice; a repeat that comes sooner finds the same queue.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// A request on its way, with the times that bind it.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    pub(crate) rule: Arc<Rule>,
+    pub(crate) arrived: Time,
+    /// Until when an answer has its full value.
+    pub(crate) due: Time,
+    /// When the caller or the route's timeout ends the request.
+    pub(crate) limit: Time,
+    pub(crate) call: Call,
+}
+
+/// Serves one request.
+pub(crate) async fn serve(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    let arrived = shared.now();
+    shared.metrics.count(Metric::Requests);
+    let id = names::text(req.headers(), &shared.settings.names.request_id)
+        .unwrap_or_default()
+        .to_owned();
+    let mut progress = Progress::new(&shared, &id, arrived);
+    let answer = match accept(&shared, req, arrived, &id).await {
+        Ok(pending) => {
+            progress.service = Some(pending.call.service.clone());
+            let done = attempts::run(&shared, &pending).await;
+            finish(&shared, &pending, done, &id)
+        }
+        Err(refusal) => refuse(&shared, refusal, arrived, &id),
+    };
+    progress.done = true;
+    shared
+        .latencies
+        .record(Span::Request, shared.now().since(arrived));
+    answer
+}
+
+/// Counts a request in progress, and notes when its caller leaves before the answer.
+struct Progress<'a> {
+    shared: &'a Shared,
+    id: &'a str,
+    arrived: Time,
+    service: Option<ServiceName>,
+    done: bool,
+}
+
+impl<'a> Progress<'a> {
+    fn new(shared: &'a Shared, id: &'a str, arrived: Time) -> Progress<'a> {
+        shared.in_progress.fetch_add(1, Ordering::Relaxed);
+        Progress {
+            shared,
+            id,
+            arrived,
+            service: None,
+            done: false,
+        }
+    }
+}
+
+impl Drop for Progress<'_> {
+    fn drop(&mut self) {
+        self.shared.in_progress.fetch_sub(1, Ordering::Relaxed);
+        if !self.done {
+            self.shared.metrics.count(Metric::Cancelled);
+            let ms = self.shared.now().since(self.arrived).as_millis() as u64;
+            log::info!(event = "caller_left", id = self.id, ms; "the caller left before the answer");
+        }
+    }
+}
+
+/// Reads the request and finds its route.
+async fn accept(
+    shared: &Shared,
+    req: Request<Incoming>,
+    arrived: Time,
+    id: &str,
+) -> Result<Pending, Refusal> {
+    if shared.phase() >= Phase::Refusing {
+        return Err(Code::Draining.into());
+    }
+    let table = shared.versions.table().ok_or(Code::NotReady)?;
+    let (parts, body) = req.into_parts();
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|h| h.to_str().ok())
+        .or_else(|| parts.uri.authority().map(|a| a.as_str()))
+        .unwrap_or_default();
+    let rule = table.find(host, parts.uri.path()).ok_or(Code::NoRoute)?;
+    let service = service_of(shared, rule).ok_or(Code::NoRoute)?;
+    let own = &shared.settings.names;
+    let patience = names::millis(&parts.headers, &own.time_left_ms)
+        .map(|ms| Duration::from_secs_f64(ms / 1_000.0));
+    let limit = arrived + shortest(patience, rule.timeout);
+    let due = arrived + rule.objective.unwrap_or(DEFAULT_TIME);
+    let mut headers = names::end_to_end(
+        &parts.headers,
+        &[&own.time_left_ms, &own.expected_target, &own.caller_service],
+    );
+    let caller = shared.service();
+    headers.push((
+        own.caller_service.as_str().to_owned(),
+        Bytes::copy_from_slice(caller.0.as_bytes()),
+    ));
+    let left = limit.since(shared.now());
+    let body = tokio::time::timeout(left, read_body(shared, &table, body))
+        .await
+        .map_err(|_| Code::DeadlinePassed)??;
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let call = Call {
+        service,
+        route: Fingerprint::of(&[rule.name.as_bytes()]).0,
+        priority: rule.priority,
+        due_ms: 0,
+        left_ms: 0,
+        repeatable: beside::is_repeatable(rule.repeat),
+        request_id: id.to_owned(),
+        method: parts.method.as_str().to_owned(),
+        path: path.to_owned(),
+        headers,
+        body,
+    };
+    let now = shared.now();
+    if shared.is_quarantined(now, || beside::fingerprint(&call)) {
+        shared.metrics.count(Metric::Quarantined);
+        return Err(Code::Quarantined.into());
+    }
+    shared.count_request(now, &call.service);
+    Ok(Pending {
+        rule: rule.clone(),
+        arrived,
+        due: due.min(limit),
+        limit,
+        call,
+    })
+}
+
+fn service_of(shared: &Shared, rule: &Rule) -> Option<ServiceName> {
+    let mut splitter = shared.splitter.lock();
+    splitter.choose(&rule.name, &rule.split, shared.life)
+}
+
+fn shortest(patience: Option<Duration>, timeout: Option<Duration>) -> Duration {
+    match (patience, timeout) {
+        (Some(a), Some(b)) => a.min(b),
+        (Some(a), None) | (None, Some(a)) => a,
+        (None, None) => DEFAULT_TIME,
+    }
+}
+
+/// Reads a body whole, so that it can be offered to a second target. Its memory is bounded.
+async fn read_body(shared: &Shared, table: &Routing, body: Incoming) -> Result<Bytes, Refusal> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let most = table.limits().body_bytes;
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if stated > most {
+        return Err(Code::BodyTooLarge.into());
+    }
+    let mut held = HeldMemory::new(shared);
+    let mut read = BytesMut::with_capacity(stated.min(shared.settings.bounds.memory / 64));
+    let mut body = body;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Code::BadHeader)?.into_data() else {
+            continue;
+        };
+        if read.len() + data.len() > most {
+            return Err(Code::BodyTooLarge.into());
+        }
+        held.add(data.len())?;
+        read.extend_from_slice(&data);
+    }
+    Ok(read.freeze())
+}
+
+/// Memory of bodies that are being read.
+struct HeldMemory<'a> {
+    shared: &'a Shared,
+    bytes: usize,
+}
+
+impl<'a> HeldMemory<'a> {
+    fn new(shared: &'a Shared) -> HeldMemory<'a> {
+        HeldMemory { shared, bytes: 0 }
+    }
+
+    fn add(&mut self, bytes: usize) -> Result<(), Refusal> {
+        self.bytes += bytes;
+        let all = self.shared.body_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        if all > self.shared.settings.bounds.memory / BODY_MEMORY_SHARE {
+            return Err(Code::QueueFull.into());
+        }
+        Ok(())
+    }
+}
+
+impl Drop for HeldMemory<'_> {
+    fn drop(&mut self) {
+        self.shared
+            .body_bytes
+            .fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+fn finish(shared: &Shared, pending: &Pending, done: Final, id: &str) -> Response<Full<Bytes>> {
+    let ms = shared.now().since(pending.arrived).as_millis() as u64;
+    let route = &*pending.rule.name;
+    let service = &*pending.call.service.0;
+    let version = shared.versions.number();
+    match done {
+        Final::Answer { answer, sends } => {
+            shared.metrics.count(Metric::AnswersWhole);
+            log::info!(
+                event = "answered", id, route, service, version, status = answer.status, sends, ms;
+                "the target's answer was passed on"
+            );
+            passed_on(&answer)
+        }
+        Final::Refused {
+            refusal,
+            maybe_ran,
+            sends,
+            known,
+        } => {
+            log::info!(
+                event = "refused", id, route, service, version, code = refusal.code.number(),
+                maybe_ran, sends, known, ms,
+                retry_ms = refusal.retry_after.map_or(0, |d| d.as_millis() as u64);
+                "{}", refusal.code.title()
+            );
+            let left = pending.limit.since(shared.now());
+            let refusal = Refusal {
+                retry_after: advice(refusal.retry_after, left),
+                ..refusal
+            };
+            own_answer(shared, refusal, maybe_ran, id)
+        }
+    }
+}
+
+/// Bounds the advice to what the caller can honour.
+fn advice(wait: Option<Duration>, left: Duration) -> Option<Duration> {
+    let most = left.mul_f64(RETRY_AFTER_SHARE);
+    let wait = wait?.max(MIN_RETRY_AFTER);
+    (most >= MIN_RETRY_AFTER).then(|| wait.min(most))
+}
+
+fn passed_on(answer: &Answer) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::new(answer.body.clone()));
+    // The status was parsed by the HTTP library of the node beside the target.
+    *res.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *res.headers_mut() = names::to_map(&answer.headers);
+    res
+}
+
+fn refuse(shared: &Shared, refusal: Refusal, arrived: Time, id: &str) -> Response<Full<Bytes>> {
+    let ms = shared.now().since(arrived).as_millis() as u64;
+    let version = shared.versions.number();
+    log::info!(
+        event = "refused", id, version, code = refusal.code.number(), ms;
+        "{}", refusal.code.title()
+    );
+    own_answer(shared, refusal, false, id)
+}
+
+/// Makes an answer of the node itself. A status that promises "not run" is used only where that
+/// is known.
+fn own_answer(
+    shared: &Shared,
+    refusal: Refusal,
+    maybe_ran: bool,
+    id: &str,
+) -> Response<Full<Bytes>> {
+    let status = status_of(refusal.code, maybe_ran);
+    let executed = if maybe_ran {
+        Executed::Unknown
+    } else {
+        refusal.code.executed().unwrap_or(Executed::Unknown)
+    };
+    shared.metrics.count(match executed {
+        Executed::No => Metric::RefusedNo,
+        Executed::Unknown | Executed::Yes => Metric::RefusedUnknown,
+    });
+    let body = format!(
+        "{{\"code\":{},\"title\":\"{}\",\"executed\":\"{}\"}}",
+        refusal.code.number(),
+        refusal.code.title(),
+        executed.as_str()
+    );
+    let mut res = Response::new(Full::new(body.into()));
+    *res.status_mut() = status;
+    let headers = res.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/problem+json"),
+    );
+    if let Ok(id) = HeaderValue::from_str(id) {
+        headers.insert(&shared.settings.names.request_id, id);
+    }
+    if let Some(wait) = refusal.retry_after {
+        let secs = format!("{:.3}", wait.as_secs_f64());
+        if let Ok(secs) = HeaderValue::from_str(&secs) {
+            headers.insert(header::RETRY_AFTER, secs);
+        }
+    }
+    res
+}
+
+fn status_of(code: Code, maybe_ran: bool) -> StatusCode {
+    if maybe_ran {
+        return match code {
+            Code::DeadlinePassed | Code::TargetTimeout => StatusCode::GATEWAY_TIMEOUT,
+            _ => StatusCode::BAD_GATEWAY,
+        };
+    }
+    match code {
+        // Callers of these deployments give up on other 4xx, although a repeat may be served.
+        Code::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
+        _ => code
+            .http_status()
+            .and_then(|s| StatusCode::from_u16(s).ok())
+            .unwrap_or(StatusCode::BAD_GATEWAY),
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/link.rs
@@ -0,0 +1,292 @@
+//! Connections between nodes: the side that serves calls and the side that makes them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use socket2::SockRef;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tarpc::{client, serde_transport};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use wire::UnixMillis;
+
+use crate::beside;
+use crate::message::{
+    Call, HelloAnswer, LeftLife, Link, LinkClient, Reply, Status, StrikeNote, VersionText,
+};
+use crate::peers::PeerKey;
+use crate::shared::{Phase, Shared, pause};
+
+/// Largest frame: the largest body that a text may allow, and the heads around it.
+const MAX_FRAME_BYTES: usize = 72 << 20;
+/// Calls of one node that may be under way; bounds memory when a node floods another one.
+const MAX_CALLS: usize = 4_096;
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which bytes that were sent and not acknowledged by the other machine end the
+/// connection. Longer than a retransmission or two on a lossy link.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for the answer to a status call. A busy node on a fifth of a core answers within some
+/// hundred milliseconds.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time between status calls to a node in a small mesh. Half of the time in which a version must
+/// be seen that the store did not deliver.
+const STATUS_INTERVAL: Duration = Duration::from_millis(500);
+/// Status calls that a node makes per second at most; with more nodes each one is asked less often.
+const STATUS_CALLS_PER_S: f64 = 25.0;
+/// Longest time between status calls, for large meshes.
+const MAX_STATUS_INTERVAL: Duration = Duration::from_secs(4);
+/// Waits between attempts to connect.
+const MIN_BACKOFF: Duration = Duration::from_millis(100);
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// Time between two announcements of a changed status, so that changes in a row become one.
+const ANNOUNCE_GAP: Duration = Duration::from_millis(20);
+
+/// Serves the calls of one node.
+#[derive(Clone, Debug)]
+struct Served(Arc<Shared>);
+
+impl Link for Served {
+    async fn hello(self, _: Context, from: Status) -> HelloAnswer {
+        self.0.add_peer(from.link);
+        let peers = self.0.peers.lock();
+        let (nodes, your_left) = (peers.links(), peers.left_at(from.link));
+        drop(peers);
+        HelloAnswer {
+            status: self.0.status(self.0.now()),
+            nodes,
+            your_left,
+        }
+    }
+
+    async fn status(self, _: Context, from: Status) -> Status {
+        note_version(&self.0, from.version);
+        self.0.peers.lock().told(from);
+        self.0.status(self.0.now())
+    }
+
+    async fn call(self, _: Context, call: Call) -> Reply {
+        beside::run(&self.0, call).await
+    }
+
+    async fn strike(self, _: Context, strike: StrikeNote) {
+        beside::take_strike(&self.0, strike);
+    }
+
+    async fn newer_version(self, _: Context, than: u64) -> Option<VersionText> {
+        self.0.versions.newer_than(than)
+    }
+}
+
+/// Accepts connections of other nodes until the node stops.
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    let mut conns = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((tcp, _)) => {
+                    conns.spawn(serve_one(shared.clone(), tcp));
+                }
+                Err(e) => {
+                    log::warn!(event = "link_accept_failed", error:% = e; "cannot accept a node");
+                    if !pause(&shared, MIN_BACKOFF).await {
+                        break;
+                    }
+                }
+            },
+            Some(_) = conns.join_next() => {}
+            () = shared.reached(Phase::Stopped) => break,
+        }
+    }
+    conns.shutdown().await;
+}
+
+async fn serve_one(shared: Arc<Shared>, tcp: TcpStream) {
+    if let Err(e) = prepare(&tcp) {
+        log::warn!(event = "link_setup_failed", error:% = e; "cannot set up a connection");
+        return;
+    }
+    let transport = serde_transport::new(codec().new_framed(tcp), Bincode::default());
+    let config = tarpc::server::Config {
+        pending_response_buffer: MAX_CALLS,
+    };
+    let channel = BaseChannel::new(config, transport);
+    let mut calls = JoinSet::new();
+    let served = Served(shared).serve();
+    let mut requests = Box::pin(channel.requests());
+    loop {
+        tokio::select! {
+            request = requests.next() => match request {
+                Some(Ok(request)) => {
+                    calls.spawn(request.execute(served.clone()));
+                }
+                Some(Err(e)) => {
+                    log::info!(event = "link_read_failed", error:% = e; "a node's connection broke");
+                    break;
+                }
+                None => break,
+            },
+            Some(_) = calls.join_next() => {}
+        }
+    }
+    // The node that made these calls is gone, and with it the callers that wait for the answers.
+    calls.shutdown().await;
+}
+
+/// Connects to each node that becomes known and keeps the connection up.
+pub(crate) async fn dial_all(shared: Arc<Shared>, mut new_peers: mpsc::UnboundedReceiver<PeerKey>) {
+    let mut dials = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(key) = new_peers.recv() => {
+                dials.spawn(keep_connected(shared.clone(), key));
+            }
+            () = shared.reached(Phase::Stopped) => break,
+        }
+    }
+    dials.shutdown().await;
+}
+
+async fn keep_connected(shared: Arc<Shared>, key: PeerKey) {
+    let Some(link) = shared.peers.lock().link(key) else {
+        return;
+    };
+    let mut backoff = MIN_BACKOFF;
+    loop {
+        if let Some(dispatch) = connect(&shared, key, link).await {
+            backoff = MIN_BACKOFF;
+            let why = keep_asking(&shared, key).await;
+            // Ends the calls that are under way on this connection.
+            drop(dispatch);
+            shared.peers.lock().disconnected(key);
+            log::warn!(event = "peer_lost", link:% = link, why; "the connection to a node is lost");
+        }
+        if !pause(&shared, backoff).await {
+            return;
+        }
+        backoff = (backoff * 2).min(MAX_BACKOFF);
+    }
+}
+
+/// Connects and exchanges introductions. The set holds the task that drives the connection.
+async fn connect(shared: &Arc<Shared>, key: PeerKey, link: SocketAddr) -> Option<JoinSet<()>> {
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(link)).await;
+    let tcp = connected.ok()?.ok()?;
+    prepare(&tcp).ok()?;
+    let transport = serde_transport::new(codec().new_framed(tcp), Bincode::default());
+    let mut config = client::Config::default();
+    config.max_in_flight_requests = MAX_CALLS;
+    config.pending_request_buffer = MAX_CALLS;
+    let client::NewClient { client, dispatch } = LinkClient::new(config, transport);
+    let mut driver = JoinSet::new();
+    driver.spawn(async move {
+        // A failure reaches each call on the connection.
+        let _ = dispatch.await;
+    });
+    let hello = client.hello(context(STATUS_TIMEOUT), shared.status(shared.now()));
+    let answer = tokio::time::timeout(STATUS_TIMEOUT, hello)
+        .await
+        .ok()?
+        .ok()?;
+    take_left(shared, &answer.your_left);
+    let version = answer.status.version;
+    shared.peers.lock().connected(key, client, answer.status);
+    for node in answer.nodes {
+        shared.add_peer(node);
+    }
+    log::info!(event = "peer_connected", link:% = link, version; "connected to a node");
+    note_version(shared, version);
+    Some(driver)
+}
+
+/// Takes over what another node remembers of the own target's earlier lives.
+fn take_left(shared: &Shared, left: &[LeftLife]) {
+    let now = shared.now();
+    let mut changed = false;
+    for LeftLife { name, started } in left {
+        // Only a life whose start is known can be told from a later one with the same name.
+        if let Some(UnixMillis(_)) = started {
+            changed |= shared.target.lock().own.leave(now, name, *started);
+        }
+    }
+    if changed {
+        log::info!(event = "target_left"; "another node knows that the target leaves");
+        shared.target_changed(now);
+    }
+}
+
+/// Asks for the node's status at intervals until it does not answer; returns why it ended.
+async fn keep_asking(shared: &Arc<Shared>, key: PeerKey) -> &'static str {
+    loop {
+        if !pause(shared, status_interval(shared)).await {
+            return "the node stops";
+        }
+        let Some(client) = shared.peers.lock().client(key) else {
+            return "disconnected";
+        };
+        let now = shared.now();
+        shared.peers.lock().asked(now, key);
+        let asked = client.status(context(STATUS_TIMEOUT), shared.status(now));
+        match tokio::time::timeout(STATUS_TIMEOUT, asked).await {
+            Ok(Ok(status)) => {
+                note_version(shared, status.version);
+                shared.peers.lock().answered(key, status);
+            }
+            Ok(Err(_)) => return "the connection broke",
+            Err(_) => return "no answer to a status call",
+        }
+    }
+}
+
+fn status_interval(shared: &Shared) -> Duration {
+    let nodes = shared.peers.lock().len() as f64;
+    Duration::from_secs_f64(nodes / STATUS_CALLS_PER_S).clamp(STATUS_INTERVAL, MAX_STATUS_INTERVAL)
+}
+
+/// Tells all connected nodes when the own status has changed.
+pub(crate) async fn announce(shared: Arc<Shared>) {
+    loop {
+        tokio::select! {
+            () = shared.status_changed.notified() => {}
+            () = shared.reached(Phase::Stopped) => return,
+        }
+        let status = shared.status(shared.now());
+        for (_, client) in shared.peers.lock().clients() {
+            let status = status.clone();
+            shared.tasks.spawn(async move {
+                // A node that misses it learns the status with the next status call.
+                let _ = client.status(context(STATUS_TIMEOUT), status).await;
+            });
+        }
+        tokio::time::sleep(ANNOUNCE_GAP).await;
+    }
+}
+
+/// Wakes the reader of versions when another node has a newer one.
+fn note_version(shared: &Shared, version: u64) {
+    if version > shared.versions.number() {
+        shared.version_behind.notify_one();
+    }
+}
+
+pub(crate) fn context(timeout: Duration) -> Context {
+    let mut cx = Context::current();
+    cx.deadline = std::time::Instant::now() + timeout;
+    cx
+}
+
+fn codec() -> tarpc::tokio_util::codec::length_delimited::Builder {
+    let mut codec = LengthDelimitedCodec::builder();
+    codec.max_frame_length(MAX_FRAME_BYTES);
+    codec
+}
+
+fn prepare(tcp: &TcpStream) -> std::io::Result<()> {
+    tcp.set_nodelay(true)?;
+    SockRef::from(tcp).set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
--- /dev/null
+++ b/crates/proxy/src/shared.rs
@@ -0,0 +1,326 @@
+//! State that the tasks of a node share. Locks are held for short, never across an await.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use admit::{JobKey, QueueState, Settled, TargetQueue};
+use member::{LifeId, OwnTarget};
+use ops::{Metric, Metrics};
+use parking_lot::Mutex;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use route::{Budget, BudgetCfg, Quarantine, QuarantineCfg, Splitter};
+use slotmap::SecondaryMap;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio_util::task::TaskTracker;
+use wire::{Fingerprint, Refusal, ServiceName, Time};
+
+use crate::clock::Clock;
+use crate::latency::Latencies;
+use crate::message::{Call, LeftLife, Status};
+use crate::peers::{PeerKey, Peers};
+use crate::settings::{Settings, TargetSettings};
+use crate::upstream::Upstream;
+use crate::versions::Versions;
+
+/// Slots assumed until the target has reported its own.
+const INITIAL_SLOTS: u32 = 1;
+/// Part of the retry ratio that nodes use. A repeated request repeats its calls, which count for
+/// the services called; one more level of them at the same ratio stays below the whole.
+const RATIO_SHARE: f64 = 0.6;
+/// Part of the retry slack that nodes save up together.
+const BURST_SHARE: f64 = 0.4;
+/// Part of the retry slack that quiet nodes are granted together.
+const FLOOR_SHARE: f64 = 0.3;
+
+/// Stage of a node's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// It serves, or starts to.
+    Serving,
+    /// It is not ready any more, and still takes what arrives.
+    Leaving,
+    /// It asks callers to close their connections.
+    Closing,
+    /// It refuses new requests.
+    Refusing,
+    /// Its tasks end.
+    Stopped,
+}
+
+/// State of the target beside the node.
+#[derive(Debug)]
+pub(crate) struct TargetSide {
+    pub(crate) own: OwnTarget,
+    pub(crate) queue: TargetQueue,
+    pub(crate) waiters: SecondaryMap<JobKey, oneshot::Sender<Result<(), Refusal>>>,
+    /// Requests that hold a slot, for what they are suspected of when the target dies.
+    pub(crate) running: SecondaryMap<JobKey, Arc<Call>>,
+    pub(crate) last_answer: Time,
+}
+
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) life: u64,
+    pub(crate) versions: Versions,
+    pub(crate) peers: Mutex<Peers>,
+    pub(crate) target: Mutex<TargetSide>,
+    pub(crate) target_settings: Mutex<TargetSettings>,
+    pub(crate) upstream: Upstream,
+    pub(crate) splitter: Mutex<Splitter>,
+    budgets: Mutex<Budgets>,
+    pub(crate) quarantine: Mutex<Quarantine>,
+    pub(crate) rng: Mutex<SmallRng>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) latencies: Latencies,
+    pub(crate) phase: watch::Sender<Phase>,
+    /// Nodes that have become known and need a connection.
+    pub(crate) new_peers: mpsc::UnboundedSender<PeerKey>,
+    /// Wakes the task that tells other nodes of a changed status.
+    pub(crate) status_changed: Notify,
+    /// Wakes the reader of versions when another node has a newer one.
+    pub(crate) version_behind: Notify,
+    /// Wakes the task that asks the target's health endpoint.
+    pub(crate) probe_health: Notify,
+    /// Counts how often the target was found dead with requests on it.
+    pub(crate) losses: watch::Sender<u64>,
+    /// Short tasks; joined at the end.
+    pub(crate) tasks: TaskTracker,
+    sequence: AtomicU64,
+    pub(crate) body_bytes: AtomicUsize,
+    pub(crate) in_progress: AtomicUsize,
+}
+
+impl std::fmt::Debug for Shared {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Shared")
+            .field("name", &self.settings.name)
+            .field("version", &self.versions.number())
+            .finish_non_exhaustive()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Budgets {
+    by_service: HashMap<ServiceName, Budget>,
+    nodes: usize,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        settings: Settings,
+        metrics: Arc<Metrics>,
+        new_peers: mpsc::UnboundedSender<PeerKey>,
+    ) -> Arc<Shared> {
+        let mut rng = SmallRng::from_rng(&mut rand::rng());
+        let life = rng.next_u64();
+        Arc::new(Shared {
+            clock: Clock,
+            life,
+            versions: Versions::new(settings.source.decode),
+            peers: Mutex::default(),
+            target: Mutex::new(TargetSide {
+                own: OwnTarget::new(),
+                queue: TargetQueue::new(INITIAL_SLOTS),
+                waiters: SecondaryMap::new(),
+                running: SecondaryMap::new(),
+                last_answer: Time::ZERO,
+            }),
+            target_settings: Mutex::new(settings.target.clone()),
+            upstream: Upstream::new(settings.target.addr),
+            splitter: Mutex::default(),
+            budgets: Mutex::default(),
+            quarantine: Mutex::new(Quarantine::new(QuarantineCfg::default())),
+            rng: Mutex::new(rng),
+            metrics,
+            latencies: Latencies::default(),
+            phase: watch::Sender::new(Phase::Serving),
+            new_peers,
+            status_changed: Notify::new(),
+            version_behind: Notify::new(),
+            probe_health: Notify::new(),
+            losses: watch::Sender::new(0),
+            tasks: TaskTracker::new(),
+            sequence: AtomicU64::new(0),
+            body_bytes: AtomicUsize::new(0),
+            in_progress: AtomicUsize::new(0),
+            settings,
+        })
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(crate) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    pub(crate) fn service(&self) -> ServiceName {
+        self.target_settings.lock().service.clone()
+    }
+
+    /// Returns whether callers may send requests here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.phase() == Phase::Serving && self.versions.number() > 0
+    }
+
+    /// Returns the queue of the target as other nodes should see it.
+    pub(crate) fn queue_state(&self, now: Time) -> QueueState {
+        let target = self.target.lock();
+        let mut state = target.queue.state(now);
+        if target.own.usable().is_none() || self.phase() != Phase::Serving {
+            state.load.slots = 0;
+        }
+        state
+    }
+
+    /// Returns what the node says of itself.
+    pub(crate) fn status(&self, now: Time) -> Status {
+        let left = left_lives(&self.target.lock().own);
+        Status {
+            link: self.settings.link,
+            life: self.life,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+            domain: self.settings.domain.clone(),
+            service: self.service(),
+            version: self.versions.number(),
+            queue: self.queue_state(now).into(),
+            left,
+        }
+    }
+
+    /// Adds a node that has become known.
+    pub(crate) fn add_peer(&self, link: std::net::SocketAddr) {
+        if link == self.settings.link {
+            return;
+        }
+        let added = self.peers.lock().add(link);
+        if let Some(key) = added {
+            log::info!(event = "peer_known", link:% = link; "another node is known");
+            self.metrics
+                .set(Metric::Members, self.peers.lock().len() as u64 + 1);
+            // The receiver ends with the node.
+            let _ = self.new_peers.send(key);
+        }
+    }
+
+    /// Starts waiting requests for which there is a slot now and tells those that are refused.
+    pub(crate) fn settle(&self, now: Time) {
+        let mut target = self.target.lock();
+        let settled = target.queue.settle(now);
+        for s in settled {
+            let (key, result) = match s {
+                Settled::Run(key) => (key, Ok(())),
+                Settled::Refuse(key, refusal) => (key, Err(refusal)),
+            };
+            if let Some(waiter) = target.waiters.remove(key) {
+                // A caller that has left gives its slot back when its guard is dropped.
+                let _ = waiter.send(result);
+            }
+        }
+        self.metrics.set(
+            Metric::InFlight,
+            target.queue.state(now).load.in_flight.into(),
+        );
+        self.metrics
+            .set(Metric::Queued, target.queue.state(now).load.queued.into());
+    }
+
+    /// Opens or closes the queue after a change of what is known of the target.
+    pub(crate) fn target_changed(&self, now: Time) {
+        {
+            let mut target = self.target.lock();
+            let usable = target.own.usable().map(|r| r.slots);
+            if let Some(slots) = usable {
+                target.queue.set_slots(slots);
+            }
+            target.queue.set_open(usable.is_some());
+        }
+        self.settle(now);
+        self.status_changed.notify_one();
+    }
+
+    /// Counts a request to a service for its retry budget.
+    pub(crate) fn count_request(&self, now: Time, service: &ServiceName) {
+        self.with_budget(service, |b| b.request(now));
+    }
+
+    /// Takes a token for a further arrival of a request at a target of a service.
+    pub(crate) fn may_repeat(&self, now: Time, service: &ServiceName) -> bool {
+        self.with_budget(service, |b| b.try_spend(now))
+    }
+
+    /// The budget is the mesh's, divided by the nodes that are known, also those that are away.
+    fn with_budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut Budget) -> T) -> T {
+        let nodes = self.peers.lock().len() + 1;
+        let mut budgets = self.budgets.lock();
+        if budgets.nodes != nodes {
+            budgets.nodes = nodes;
+            budgets.by_service.clear();
+        }
+        let bounds = &self.settings.bounds;
+        let budget = budgets
+            .by_service
+            .entry(service.clone())
+            .or_insert_with(|| {
+                let slack = bounds.retry_slack / nodes as f64;
+                Budget::new(BudgetCfg {
+                    share: bounds.retry_ratio * RATIO_SHARE,
+                    floor_per_s: slack * FLOOR_SHARE / bounds.retry_window.as_secs_f64(),
+                    burst: slack * BURST_SHARE,
+                })
+            });
+        f(budget)
+    }
+
+    /// Returns whether a request is quarantined because it crashed targets.
+    pub(crate) fn is_quarantined(&self, now: Time, fp: impl FnOnce() -> Fingerprint) -> bool {
+        let mut quarantine = self.quarantine.lock();
+        // Hashing a body costs time; nearly always nothing is quarantined.
+        if quarantine.is_empty() {
+            return false;
+        }
+        quarantine.is_quarantined(now, fp())
+    }
+
+    /// Returns the present life of the target.
+    pub(crate) fn life_of_target(&self) -> Option<LifeId> {
+        self.target.lock().own.usable().map(|r| r.life.clone())
+    }
+
+    /// Waits until the target is found dead.
+    pub(crate) async fn target_lost(&self) {
+        let mut rx = self.losses.subscribe();
+        // The sender lives as long as `self`.
+        let _ = rx.changed().await;
+    }
+
+    /// Waits until the node has reached `phase`.
+    pub(crate) async fn reached(&self, phase: Phase) {
+        let mut rx = self.phase.subscribe();
+        // The sender lives as long as `self`.
+        let _ = rx.wait_for(|p| *p >= phase).await;
+    }
+}
+
+fn left_lives(target: &OwnTarget) -> Vec<LeftLife> {
+    target
+        .left()
+        .map(|(name, started)| LeftLife {
+            name: name.to_owned(),
+            started,
+        })
+        .collect()
+}
+
+/// Sleeps for `period`, or until the node stops. Returns whether it goes on.
+pub(crate) async fn pause(shared: &Shared, period: Duration) -> bool {
+    tokio::select! {
+        () = tokio::time::sleep(period) => true,
+        () = shared.reached(Phase::Stopped) => false,
+    }
+}
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -78,6 +78,8 @@
     AttemptsUsedUp = 107, Some(503), NO, "attempts used up";
     /// The request is quarantined because it crashed targets.
     Quarantined = 108, Some(422), NO, "quarantined request";
+    /// The request's body is over the limit.
+    BodyTooLarge = 109, Some(413), NO, "body too large";
     /// The target's queue is full.
     QueueFull = 201, Some(429), NO, "queue full";
     /// The request can't start before its deadline.
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -2,7 +2,7 @@
 
 use pico_args::Arguments;
 
-use super::{check, demo, fake, node, publish, status};
+use super::{check, demo, fake, node, platform, publish, status};
 use crate::util::{self, Result, print_out};
 
 pub(crate) const USAGE: &str = "\
@@ -15,6 +15,7 @@
 
 Commands:
     node      Run a node beside a target.
+    platform  Run a node beside a target on the users' platform.
     publish   Publish a new version of the configuration text.
     check     Check a text or settings offline.
     status    Show what a node knows of the mesh.
@@ -42,6 +43,7 @@
         "demo" => demo::USAGE,
         "fake" => fake::USAGE,
         "node" => node::USAGE,
+        "platform" => platform::USAGE,
         "publish" => publish::USAGE,
         "status" => status::USAGE,
         "help" => USAGE,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,10 +9,13 @@
 pub(crate) mod fake;
 pub(crate) mod help;
 pub(crate) mod node;
+pub(crate) mod platform;
 pub(crate) mod publish;
 pub(crate) mod status;
 
-const NAMES: [&str; 7] = ["check", "demo", "fake", "help", "node", "publish", "status"];
+const NAMES: [&str; 8] = [
+    "check", "demo", "fake", "help", "node", "platform", "publish", "status",
+];
 
 /// Runs the command `name` with the remaining arguments.
 pub(crate) fn dispatch(name: &str, mut args: Arguments) -> Result<()> {
@@ -25,6 +28,7 @@
         "fake" => fake::run(args),
         "help" => help::run(args),
         "node" => node::run(args),
+        "platform" => platform::run(args),
         "publish" => publish::run(args),
         "status" => status::run(args),
         _ => Err(unknown(name)),
