Give slots to work that can be on time, and count a repeat's age

Ruled out: a lack of retries (a refusal between nodes costs none), slow nodes (0.0079 cores each). Change: rank by standing (on time or late), priority, size, objective; admission by the predicted end; late work waits 60 ms at most; the entry learns each route's full patience and takes what is missing as the age of the first attempt.

--- a/crates/admit/src/target_queue.rs
+++ b/crates/admit/src/target_queue.rs
@@ -1,8 +1,10 @@
 //! The queue in front of one target, held by the node beside it.
 //!
-//! [`TargetQueue`] gives out the target's slots in the order of priority and objective. It refuses
-//! a request at once when, from its place in the queue and the measured service times, the request
-//! can't be answered in time; a request that is refused here has not reached the target.
+//! The load that it answers is more work than the target can do, for seconds. Then the slots go to
+//! requests that can still meet their objective: the more urgent first, short work before long, the
+//! earlier objective before the later. Work that is late already, mostly of callers who were
+//! refused and came back, gets what is left. A request that has no chance of its place is refused at
+//! once; a request that is refused here has not reached the target.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -22,6 +24,12 @@
 /// Part of the expected service time that must fit before the deadline when a request starts.
 /// Half of the requests take less than that.
 const START_MARGIN: f64 = 0.7;
+/// Longest wait of a late request. Holding one that is refused in the end serves nobody, and how
+/// much work with better standing will come in meanwhile is not known.
+const MAX_LATE_WAIT: Duration = Duration::from_millis(60);
+/// Work that takes less than this part of the target's mean counts as short: in a mesh these are
+/// the calls of running work, whose failure wastes what their caller has done so far.
+const SHORT_SHARE: f64 = 0.4;
 
 new_key_type! {
     /// A request that waits for or holds a slot.
@@ -38,6 +46,8 @@
     pub route: RouteId,
     /// Rank of the route; 0 is the most urgent.
     pub priority: u32,
+    /// When it asked for a slot.
+    pub arrived: Time,
     /// Until when an answer has its full value.
     pub due: Time,
     /// When the caller stops waiting.
@@ -92,8 +102,25 @@
     since: Time,
 }
 
-/// Order of service: priority, then objective, then arrival.
-type Rank = (u32, Time, u64);
+/// What a request can still gain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    /// It can meet its objective, or it is short.
+    OnTime,
+    /// It can't.
+    Late,
+}
+
+/// Order of service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    standing: Standing,
+    priority: u32,
+    /// Logarithm of the expected service time, so that only clear differences count.
+    size: u32,
+    due: Time,
+    arrival: u64,
+}
 
 #[derive(Clone, Copy, Debug)]
 enum Place {
@@ -154,8 +181,8 @@
             return Admit::Refuse(Code::Draining.into());
         }
         self.arrivals += 1;
-        let rank = (job.priority, job.due, self.arrivals);
-        let ahead = self.waiting.range(..rank).count();
+        let mut rank = self.rank(now, &job);
+        let mut ahead = self.waiting.range(..rank).count();
         if self.running < self.slots && ahead == 0 {
             if !self.can_start(now, &job) {
                 return Admit::Refuse(Code::CannotStartInTime.into());
@@ -165,7 +192,11 @@
         if self.waiting.len() >= self.slots as usize * MAX_WAITING_PER_SLOT {
             return Admit::Refuse(self.refusal(Code::QueueFull));
         }
-        if now + self.wait_behind(ahead) + self.service_of(job.route) > self.latest(&job) {
+        if rank.standing == Standing::OnTime && !self.is_worth_waiting(now, &job, rank, ahead) {
+            rank.standing = Standing::Late;
+            ahead = self.waiting.range(..rank).count();
+        }
+        if !self.is_worth_waiting(now, &job, rank, ahead) {
             return Admit::Refuse(self.refusal(Code::CannotStartInTime));
         }
         let key = self.jobs.insert(Place::Waiting(rank, job));
@@ -261,25 +292,58 @@
         Duration::from_secs_f64(self.mean_service * turns)
     }
 
-    /// Returns by when a request should be answered so that queueing it is worth it.
-    ///
-    /// Work that is already late still has some value, so half of the time between objective and
-    /// deadline may be used; beyond that, requests that can still be on time need the slot.
-    fn latest(&self, job: &Job) -> Time {
-        let spare = job.deadline.since(job.due) / 2;
-        (job.due + spare).min(job.deadline)
+    fn rank(&self, now: Time, job: &Job) -> Rank {
+        let service = self.service_of(job.route);
+        let short = service.as_secs_f64() < SHORT_SHARE * self.mean_service;
+        let on_time = short || now + service.mul_f64(START_MARGIN) <= job.due;
+        Rank {
+            standing: if on_time {
+                Standing::OnTime
+            } else {
+                Standing::Late
+            },
+            priority: job.priority,
+            size: (service.as_millis() as u64 | 1).ilog2(),
+            due: job.due,
+            arrival: self.arrivals,
+        }
+    }
+
+    /// Returns whether the place in the queue gives a request a chance.
+    fn is_worth_waiting(&self, now: Time, job: &Job, rank: Rank, ahead: usize) -> bool {
+        let wait = self.wait_behind(ahead);
+        let done = now + wait + self.service_of(job.route);
+        match rank.standing {
+            Standing::OnTime => done <= job.due.max(self.short_limit(job, rank)).min(job.deadline),
+            Standing::Late => wait <= MAX_LATE_WAIT && done <= job.deadline,
+        }
+    }
+
+    /// Short work may use all of its time: its caller has no use of the objective alone.
+    fn short_limit(&self, job: &Job, rank: Rank) -> Time {
+        let mean_ms = (self.mean_service * 1_000.0 * SHORT_SHARE) as u64;
+        if rank.size < (mean_ms | 1).ilog2() {
+            job.deadline
+        } else {
+            Time::ZERO
+        }
     }
 
     fn can_start(&self, now: Time, job: &Job) -> bool {
         now + self.service_of(job.route).mul_f64(START_MARGIN) <= job.deadline
     }
 
-    /// Returns the next request to serve: the first that can still be on time, else the first.
+    /// Returns whether a waiting request should be kept.
+    fn has_chance(&self, now: Time, standing: Standing, job: &Job) -> bool {
+        let waited = now.since(job.arrived);
+        self.can_start(now, job) && (standing == Standing::OnTime || waited <= 2 * MAX_LATE_WAIT)
+    }
+
+    /// Returns the next request to serve: the first that still has the standing that it came
+    /// with, else the first.
     fn next_waiting(&self, now: Time) -> Option<(Rank, JobKey)> {
-        let on_time = self.waiting.iter().find(|(_, key)| match self.jobs[**key] {
-            Place::Waiting(_, job) => {
-                now + self.service_of(job.route).mul_f64(START_MARGIN) <= job.due
-            }
+        let on_time = self.waiting.iter().find(|(rank, key)| match self.jobs[**key] {
+            Place::Waiting(_, job) => self.rank(now, &job).standing <= rank.standing,
             Place::Running(_) => false,
         });
         on_time
@@ -299,7 +363,7 @@
             .waiting
             .iter()
             .filter(|(_, key)| match &self.jobs[**key] {
-                Place::Waiting(_, job) => !self.can_start(now, job),
+                Place::Waiting(rank, job) => !self.has_chance(now, rank.standing, job),
                 Place::Running(_) => false,
             })
             .map(|(rank, key)| (*rank, *key))
--- /dev/null
+++ b/crates/member/tests/own_target.rs
@@ -0,0 +1,128 @@
+//! Reports of the target beside a node: late, doubled, of earlier lives.
+
+use std::time::Duration;
+
+use member::{LifeId, OwnTarget, Reported, TargetReport, TargetState};
+use wire::{Time, UnixMillis};
+
+const NOW: Time = Time::from_millis(10_000);
+
+fn report(name: &str, started: u64, sequence: u64, state: TargetState) -> TargetReport {
+    TargetReport {
+        life: LifeId {
+            name: name.into(),
+            started: UnixMillis(started),
+        },
+        sequence,
+        service: "desk".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        slots: 6,
+        state,
+        cold_for: Duration::ZERO,
+    }
+}
+
+fn ready(name: &str, started: u64, sequence: u64) -> TargetReport {
+    report(name, started, sequence, TargetState::Ready)
+}
+
+/// A target that is in use.
+fn in_use() -> OwnTarget {
+    let mut t = OwnTarget::new();
+    assert_eq!(t.report(NOW, &ready("a", 100, 5)), Reported::NewLife);
+    t.health("a", true);
+    assert!(t.usable().is_some());
+    t
+}
+
+/// Guards against work for a life that a late report names after it has ended: the node does not
+/// use a new life before its health endpoint or a second report confirms it.
+#[test]
+fn a_new_life_is_used_once_it_is_confirmed() {
+    let mut t = OwnTarget::new();
+    t.report(NOW, &ready("a", 100, 5));
+    assert!(t.usable().is_none());
+    t.health("b", true);
+    assert!(t.usable().is_none(), "another target's health");
+    t.health("a", false);
+    assert!(t.usable().is_none(), "unhealthy");
+    assert_eq!(t.report(NOW, &ready("a", 100, 6)), Reported::Changed);
+    assert!(t.usable().is_some(), "a second report");
+}
+
+/// Guards against a leaving that is undone by a report that was under way.
+#[test]
+fn leaving_is_never_undone_within_a_life() {
+    for by_report in [true, false] {
+        let mut t = in_use();
+        if by_report {
+            t.report(NOW, &report("a", 100, 6, TargetState::Draining));
+        } else {
+            assert!(t.leave(NOW, "a", Some(UnixMillis(100))));
+        }
+        assert!(t.usable().is_none());
+        t.report(NOW, &ready("a", 100, 7));
+        assert!(t.usable().is_none());
+        assert_eq!(t.report(NOW, &ready("a", 200, 1)), Reported::NewLife);
+        t.health("a", true);
+        assert!(t.usable().is_some(), "a later life with the same name");
+    }
+}
+
+/// Guards against old reports that replace newer knowledge.
+#[test]
+fn old_reports_change_nothing() {
+    let cases = [
+        ("same again", ready("a", 100, 5)),
+        ("earlier", report("a", 100, 4, TargetState::Draining)),
+        ("earlier life, same name", ready("a", 90, 9)),
+        ("earlier life, other name", ready("z", 99, 50)),
+    ];
+    for (what, old) in cases {
+        let mut t = in_use();
+        assert_eq!(t.report(NOW, &old), Reported::Stale, "{what}");
+        assert_eq!(t.usable().unwrap().life.started, UnixMillis(100), "{what}");
+    }
+}
+
+/// Guards against a target that is never used again because its clock was set back.
+#[test]
+fn an_earlier_start_is_believed_once_the_known_life_is_gone() {
+    let mut t = in_use();
+    t.connection_refused();
+    assert!(t.usable().is_none());
+    assert_eq!(t.report(NOW, &ready("b", 50, 1)), Reported::NewLife);
+    t.health("b", true);
+    assert_eq!(t.usable().unwrap().life.name.as_ref(), "b");
+}
+
+/// Guards against a target that is left out for ever because a late call said that a life of the
+/// same name had left.
+#[test]
+fn a_leave_without_a_start_is_doubted_after_a_while() {
+    let mut t = OwnTarget::new();
+    t.leave(NOW, "a", None);
+    assert_eq!(t.report(NOW, &ready("a", 100, 1)), Reported::Stale);
+    let later = NOW + Duration::from_secs(11);
+    assert_eq!(t.report(later, &ready("a", 100, 9)), Reported::NewLife);
+}
+
+/// Guards against a connection refused once that keeps a live target out of use.
+#[test]
+fn a_report_ends_the_doubt_after_a_refused_connection() {
+    let mut t = in_use();
+    t.connection_refused();
+    assert!(t.is_down());
+    assert_eq!(t.report(NOW, &ready("a", 100, 6)), Reported::Changed);
+    assert!(t.usable().is_some());
+}
+
+/// Guards against requests for a target that has been replaced at its address.
+#[test]
+fn another_identifier_at_the_address_ends_the_known_life() {
+    let mut t = in_use();
+    t.replaced_by("a");
+    assert!(t.usable().is_some());
+    t.replaced_by("b");
+    assert!(t.usable().is_none());
+}
--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -222,7 +222,7 @@
 async fn attempt(shared: &Arc<Shared>, pending: &Pending, place: Place, now: Time) -> Outcome {
     let mut call = pending.call.clone();
     call.left_ms = millis(pending.limit.since(now));
-    call.due_ms = i64::try_from(millis(pending.due.since(now))).unwrap_or(i64::MAX);
+    call.due_ms = millis(pending.due.since(now));
     match place {
         Place::Own => beside::run(shared, call).await.outcome,
         Place::Peer(key) => call_peer(shared, key, call, pending.limit.since(now)).await,
--- a/crates/proxy/src/beside.rs
+++ b/crates/proxy/src/beside.rs
@@ -62,10 +62,11 @@
     let now = shared.now();
     check(shared, call, now)?;
     let deadline = now + Duration::from_millis(call.left_ms);
-    let due = now + Duration::from_millis(u64::try_from(call.due_ms).unwrap_or(0));
+    let due = now + Duration::from_millis(call.due_ms);
     let job = Job {
         route: call.route,
         priority: call.priority,
+        arrived: now,
         due,
         deadline,
     };
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -33,7 +33,7 @@
 pub(crate) struct Pending {
     pub(crate) rule: Arc<Rule>,
     pub(crate) arrived: Time,
-    /// Until when an answer has its full value.
+    /// Until when an answer has its full value; the arrival if that has passed.
     pub(crate) due: Time,
     /// When the caller or the route's timeout ends the request.
     pub(crate) limit: Time,
@@ -120,7 +120,11 @@
     let patience = names::millis(&parts.headers, &own.time_left_ms)
         .map(|ms| Duration::from_secs_f64(ms / 1_000.0));
     let limit = arrived + shortest(patience, rule.timeout);
-    let due = arrived + rule.objective.unwrap_or(DEFAULT_TIME);
+    let age = patience.map_or(Duration::ZERO, |left| {
+        shared.ages.lock().age(arrived, &rule.name, left)
+    });
+    let objective = rule.objective.unwrap_or(DEFAULT_TIME);
+    let due = arrived + objective.saturating_sub(age);
     let mut headers = names::end_to_end(
         &parts.headers,
         &[&own.time_left_ms, &own.expected_target, &own.caller_service],
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -97,8 +97,8 @@
     /// Hash of the route's name.
     pub(crate) route: u64,
     pub(crate) priority: u32,
-    /// Milliseconds until the objective; negative when it has passed.
-    pub(crate) due_ms: i64,
+    /// Milliseconds until the objective, 0 when it has passed.
+    pub(crate) due_ms: u64,
     /// Milliseconds until the caller stops waiting.
     pub(crate) left_ms: u64,
     pub(crate) repeatable: bool,
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -11,7 +11,7 @@
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use route::{Budget, BudgetCfg, Quarantine, QuarantineCfg, Splitter};
+use route::{AttemptAges, Budget, BudgetCfg, Quarantine, QuarantineCfg, Splitter};
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::task::TaskTracker;
@@ -71,6 +71,7 @@
     pub(crate) target_settings: Mutex<TargetSettings>,
     pub(crate) upstream: Upstream,
     pub(crate) splitter: Mutex<Splitter>,
+    pub(crate) ages: Mutex<AttemptAges>,
     budgets: Mutex<Budgets>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) rng: Mutex<SmallRng>,
@@ -132,6 +133,7 @@
             target_settings: Mutex::new(settings.target.clone()),
             upstream: Upstream::new(settings.target.addr),
             splitter: Mutex::default(),
+            ages: Mutex::default(),
             budgets: Mutex::default(),
             quarantine: Mutex::new(Quarantine::new(QuarantineCfg::default())),
             rng: Mutex::new(rng),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O: the current time is an argument, and random choices come from a seeded
 //! generator, so a run depends on its inputs and its seed only.
 
+mod attempt_age;
 mod budget;
 mod hedge;
 mod judge;
@@ -18,6 +19,7 @@
 mod subset;
 mod view;
 
+pub use attempt_age::AttemptAges;
 pub use budget::{Budget, BudgetCfg};
 pub use hedge::{Hedge, HedgeCfg};
 pub use outlier::{OutlierCfg, max_ejected};
--- /dev/null
+++ b/crates/route/tests/placement.rs
@@ -0,0 +1,114 @@
+//! Placement by the time until the answer, and the split of a route over services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use route::{Candidate, Splitter, expected_time, place, time_to_room};
+use wire::{Load, ServiceName};
+
+fn candidate(key: u32, in_flight: u32, queued: u32) -> Candidate<u32> {
+    Candidate {
+        key,
+        near: true,
+        load: Load {
+            in_flight,
+            queued,
+            slots: 6,
+        },
+        sent_since: 0,
+        service: Duration::from_millis(100),
+        failing: 0.0,
+        silent: false,
+    }
+}
+
+fn chosen(candidates: &[Candidate<u32>], body: usize) -> Option<u32> {
+    place(&mut SmallRng::seed_from_u64(1), candidates, body)
+}
+
+/// Guards against choices by the number of requests alone, or by old reports alone.
+#[test]
+fn the_instance_that_answers_first_is_chosen() {
+    let free = candidate(1, 1, 0);
+    let full = candidate(2, 6, 3);
+    let slow = Candidate {
+        service: Duration::from_millis(400),
+        ..candidate(3, 0, 0)
+    };
+    let failing = Candidate {
+        failing: 0.6,
+        ..candidate(4, 0, 0)
+    };
+    let flooded = Candidate {
+        sent_since: 12,
+        ..candidate(5, 0, 0)
+    };
+    for worse in [full, slow, failing, flooded] {
+        assert_eq!(chosen(&[worse, free], 0), Some(1), "against {}", worse.key);
+    }
+}
+
+/// Guards against work for an instance that takes none, and against none although one is left.
+#[test]
+fn instances_without_slots_are_never_chosen_and_silent_ones_last() {
+    let mut closed = candidate(1, 0, 0);
+    closed.load.slots = 0;
+    let silent = Candidate {
+        silent: true,
+        ..candidate(2, 0, 0)
+    };
+    let full = candidate(3, 6, 20);
+    assert_eq!(chosen(&[closed], 0), None);
+    assert_eq!(chosen(&[closed, silent], 0), Some(2));
+    assert_eq!(chosen(&[closed, silent, full], 0), Some(3));
+}
+
+/// Guards against large bodies that cross failure domains although waiting is cheaper, and against
+/// small ones that wait.
+#[test]
+fn large_bodies_stay_near_until_the_wait_costs_more() {
+    let busy = candidate(1, 6, 1);
+    let far = Candidate {
+        near: false,
+        ..candidate(2, 0, 0)
+    };
+    assert_eq!(chosen(&[busy, far], 500), Some(2));
+    assert_eq!(chosen(&[busy, far], 60_000), Some(1));
+    assert!(expected_time(&candidate(1, 6, 30), 60_000) > expected_time(&far, 60_000));
+}
+
+/// Guards against advice that ignores the queue.
+#[test]
+fn room_comes_after_the_shortest_queue() {
+    let long = candidate(1, 6, 11);
+    let short = candidate(2, 6, 2);
+    assert_eq!(time_to_room(&[long, short]), Duration::from_millis(50));
+    assert_eq!(time_to_room(&[candidate(1, 2, 0)]), Duration::ZERO);
+}
+
+/// Guards against shares that are off in a small sample, and against a state that outlives a
+/// change of weights.
+#[test]
+fn each_part_of_a_split_gets_its_weight() {
+    let route: Arc<str> = "r".into();
+    let split = [
+        (ServiceName::from("a"), 90),
+        (ServiceName::from("b"), 10),
+        (ServiceName::from("c"), 0),
+    ];
+    for phase in [0, 7, u64::MAX] {
+        let mut s = Splitter::default();
+        let mut count = [0; 3];
+        for _ in 0..50 {
+            let service = s.choose(&route, &split, phase).unwrap();
+            let i = split.iter().position(|(n, _)| *n == service).unwrap();
+            count[i] += 1;
+        }
+        assert!((44..=46).contains(&count[0]), "{count:?}");
+        assert_eq!(count[2], 0);
+        let moved = [(ServiceName::from("b"), 1)];
+        assert_eq!(s.choose(&route, &moved, phase).unwrap(), moved[0].0);
+    }
+}
