--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -158,12 +158,16 @@
     };
     let mut backoff = MIN_BACKOFF;
     loop {
-        if let Some(dispatch) = connect(&shared, key, link).await {
+        if let Some(mut driver) = connect(&shared, key, link).await {
             backoff = MIN_BACKOFF;
-            let why = keep_asking(&shared, key).await;
-            // Ends the calls that are under way on this connection.
-            drop(dispatch);
+            let why = tokio::select! {
+                why = keep_asking(&shared, key) => why,
+                // New calls must not be placed on a connection that has broken.
+                _ = driver.join_next() => "the connection broke",
+            };
             shared.peers.lock().disconnected(key);
+            // Ends the calls that are under way on this connection.
+            drop(driver);
             log::warn!(event = "peer_lost", link:% = link, why; "the connection to a node is lost");
         }
         if !pause(&shared, backoff).await {
