--- a/crates/admit/tests/target_queue.rs
+++ b/crates/admit/tests/target_queue.rs
@@ -191,3 +191,79 @@
         }
     }
 }
+
+/// Teaches the queue a second route whose requests take 20 ms, among others of 100 ms.
+fn with_short_route(q: &mut TargetQueue, short: u64) {
+    for i in 0..64 {
+        let now = at(50_000 + i * 100);
+        let key = run(
+            q,
+            now,
+            Job {
+                route: short,
+                ..job(1, 1_000_000, 1_000_000)
+            },
+        );
+        q.end(now + ms(20), key, Ended::Answered);
+        let key = run(q, now + ms(20), job(1, 1_000_000, 1_000_000));
+        q.end(now + ms(120), key, Ended::Answered);
+    }
+}
+
+/// Guards against calls of running work that fail behind older requests of their callers' rank.
+#[test]
+fn short_work_goes_before_older_long_work() {
+    let short = 2;
+    let mut q = measured(1);
+    with_short_route(&mut q, short);
+    let now = at(100_000);
+    let held = run(&mut q, now, job(1, 200_000, 200_000));
+    let old = wait(&mut q, now, job(1, 100_400, 103_000));
+    let call = wait(
+        &mut q,
+        now,
+        Job {
+            route: short,
+            ..job(1, 100_500, 100_500)
+        },
+    );
+    q.end(now, held, Ended::Dropped);
+    assert_eq!(q.settle(now), [Settled::Run(call)]);
+    q.end(now, call, Ended::Dropped);
+    assert_eq!(q.settle(now), [Settled::Run(old)]);
+}
+
+/// Guards against slots for work that is late already while other work can still be on time, and
+/// against late work that is held although it has no chance.
+#[test]
+fn late_work_gets_what_is_left() {
+    let mut q = measured(6);
+    let now = at(100_000);
+    let held: Vec<_> = (0..6)
+        .map(|_| run(&mut q, now, job(1, 200_000, 200_000)))
+        .collect();
+    let late = wait(&mut q, now, job(1, 100_000, 103_000));
+    let fresh = wait(&mut q, now, job(1, 100_400, 103_000));
+    q.end(now, held[0], Ended::Dropped);
+    assert_eq!(q.settle(now), [Settled::Run(fresh)]);
+    let then = now + ms(60);
+    assert!(matches!(q.settle(then)[..], [Settled::Refuse(key, _)] if key == late));
+}
+
+/// Guards against a late answer where another target could answer on time, and against none where
+/// there is no other one.
+#[test]
+fn only_the_last_resort_takes_what_will_be_late() {
+    let mut q = measured(6);
+    let now = at(100_000);
+    for _ in 0..6 {
+        run(&mut q, now, job(1, 200_000, 200_000));
+    }
+    let soon = job(1, 100_100, 103_000);
+    assert!(matches!(q.offer(now, soon), Admit::Refuse(_)));
+    let last = Job {
+        last_resort: true,
+        ..soon
+    };
+    assert!(matches!(q.offer(now, last), Admit::Wait(_)));
+}
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -14,6 +14,9 @@
 /// A node that has owed an answer to a status call for longer is placed last. Round trips take a
 /// few milliseconds; a busy node on a fifth of a core may take some tens more.
 const SILENT_AFTER: Duration = Duration::from_millis(250);
+/// A node that has owed an answer for longer gets no requests: most of them would be lost, and a
+/// refusal now serves the caller better than an unknown outcome later.
+const UNUSED_AFTER: Duration = Duration::from_millis(600);
 
 new_key_type! {
     /// Another node.
@@ -125,10 +128,10 @@
         service: &ServiceName,
         domain: &Domain,
     ) -> Vec<Candidate<PeerKey>> {
-        let of_service = |p: &&Peer| p.client.is_some();
+        let owes = |p: &Peer| p.asked.map_or(Duration::ZERO, |at| now.since(at));
         self.by_key
             .iter()
-            .filter(|(_, p)| of_service(p))
+            .filter(|(_, p)| p.client.is_some() && owes(p) <= UNUSED_AFTER)
             .filter_map(|(key, p)| {
                 let status = p.status.as_ref().filter(|s| s.service == *service)?;
                 let queue = QueueState::from(status.queue);
@@ -139,7 +142,7 @@
                     sent_since: p.sent_since,
                     service: queue.service,
                     failing: f64::from(queue.failing),
-                    silent: p.asked.is_some_and(|at| now.since(at) > SILENT_AFTER),
+                    silent: owes(p) > SILENT_AFTER,
                 })
             })
             .collect()
