Read versions by few nodes, send differences, sample instances, time the way

All entry nodes chose the same instance by reports that were seconds old (busiest over mean 2.5). Change: two readers a domain by link and rendezvous rank, all others follow by differences, from the node that brought the last version first; a node without word of a reader for 1 s reads itself; reads are 600 ms apart. Five instances drawn by speed are compared. Time on the way is measured for each node. Status calls are rarer, and a node that owes a reply is asked at once. A request starts only with 1.1 expected service times left.

--- a/crates/admit/src/target_queue.rs
+++ b/crates/admit/src/target_queue.rs
@@ -21,9 +21,9 @@
 const FAILURE_WEIGHT: f64 = 1.0 / 12.0;
 /// Waiting requests per slot; bounds memory, the deadlines bind long before.
 const MAX_WAITING_PER_SLOT: usize = 64;
-/// Part of the expected service time that must fit before the deadline when a request starts.
-/// Half of the requests take less than that.
-const START_MARGIN: f64 = 0.7;
+/// Expected service times that must fit before the deadline, or the objective, when a request starts.
+/// Work that is cut at its deadline has used a slot for nothing; more than half take less.
+const START_MARGIN: f64 = 1.1;
 /// Longest wait of a late request. Holding one that is refused in the end serves nobody, and how
 /// much work with better standing will come in meanwhile is not known.
 const MAX_LATE_WAIT: Duration = Duration::from_millis(50);
@@ -277,6 +277,11 @@
         starts.min()
     }
 
+    /// Returns the time that must be left when a request of a route starts.
+    pub fn needed(&self, route: RouteId) -> Duration {
+        self.service_of(route).mul_f64(START_MARGIN)
+    }
+
     /// Returns the expected service time of a route.
     pub fn service_of(&self, route: RouteId) -> Duration {
         let s = self.service.get(&route).copied();
@@ -298,7 +303,7 @@
     fn rank(&self, now: Time, job: &Job) -> Rank {
         let service = self.service_of(job.route);
         let short = service.as_secs_f64() < SHORT_SHARE * self.mean_service;
-        let on_time = short || now + service.mul_f64(START_MARGIN) <= job.due;
+        let on_time = short || now + self.needed(job.route) <= job.due;
         Rank {
             standing: if on_time {
                 Standing::OnTime
@@ -333,7 +338,7 @@
     }
 
     fn can_start(&self, now: Time, job: &Job) -> bool {
-        now + self.service_of(job.route).mul_f64(START_MARGIN) <= job.deadline
+        now + self.needed(job.route) <= job.deadline
     }
 
     /// Returns whether a waiting request should be kept.
--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -6,11 +6,11 @@
 
 use ops::Metric;
 use route::{Candidate, place, time_to_room};
-use tarpc::context::Context;
 use wire::{Code, Refusal, Time};
 
 use crate::beside;
 use crate::entry::Pending;
+use crate::link::context;
 use crate::message::{Answer, Call, Failure, Outcome, Reply, Times};
 use crate::peers::PeerKey;
 use crate::shared::Shared;
@@ -19,6 +19,10 @@
 /// the two that seemed best have none, and asking takes time that a refusal should not.
 const MAX_BOUNCES: u32 = 2;
 
+/// Time without a reply after which a node that has sent nothing else is asked whether it lives.
+/// Most requests are answered by then.
+const DOUBT_AFTER: Duration = Duration::from_millis(400);
+
 /// What the caller gets.
 #[derive(Debug)]
 pub(crate) enum Final {
@@ -206,7 +210,10 @@
 fn candidates(shared: &Shared, pending: &Pending, now: Time) -> Vec<Candidate<Place>> {
     let service = &pending.call.service;
     let domain = &shared.settings.domain;
-    let others = shared.peers.lock().candidates(now, service, domain);
+    let others = shared
+        .peers
+        .lock()
+        .candidates(now, service, domain, pending.call.body.len());
     let mut all: Vec<_> = others
         .into_iter()
         .filter(|c| c.load.slots > 0)
@@ -214,9 +221,11 @@
             key: Place::Peer(c.key),
             near: c.near,
             load: c.load,
+            age: c.age,
             sent_since: c.sent_since,
             service: c.service,
             failing: c.failing,
+            on_the_way: c.on_the_way,
             silent: c.silent,
         })
         .collect();
@@ -227,9 +236,11 @@
                 key: Place::Own,
                 near: true,
                 load: own.load,
+                age: Duration::ZERO,
                 sent_since: 0,
                 service: own.service,
                 failing: f64::from(own.failing),
+                on_the_way: Duration::ZERO,
                 silent: false,
             });
         }
@@ -267,15 +278,28 @@
         let refusal = Refusal::from(Code::NoInstance);
         return (Outcome::Refused(refusal.into()), Times::default());
     };
-    let mut cx = Context::current();
-    cx.deadline = std::time::Instant::now() + left;
-    match client.call(cx, call).await {
+    let sent = shared.now();
+    let body_bytes = call.body.len();
+    let reply = client.call(context(left), call);
+    tokio::pin!(reply);
+    let reply = match tokio::time::timeout(DOUBT_AFTER, &mut reply).await {
+        Ok(reply) => reply,
+        Err(_) => {
+            shared.peers.lock().doubt(shared.now(), key, DOUBT_AFTER);
+            reply.await
+        }
+    };
+    match reply {
         Ok(Reply {
             queue,
             outcome,
             times,
         }) => {
-            shared.peers.lock().queue(key, queue.into());
+            let away = Duration::from_millis((times.queued_ms + times.target_ms).into());
+            let way = shared.now().since(sent).saturating_sub(away);
+            let mut peers = shared.peers.lock();
+            peers.queue(shared.now(), key, queue.into());
+            peers.measured(key, way, body_bytes);
             (outcome, times)
         }
         Err(e) => {
--- a/crates/proxy/src/beside.rs
+++ b/crates/proxy/src/beside.rs
@@ -19,9 +19,6 @@
 use crate::shared::{Phase, Shared};
 use crate::upstream::{Received, Reuse, SendError};
 
-/// Part of the expected service time that must be left when a request starts, as in the queue.
-const START_MARGIN: f64 = 0.7;
-
 /// Runs a request of this or another node at the target.
 pub(crate) async fn run(shared: &Arc<Shared>, call: Call) -> Reply {
     let call = Arc::new(call);
@@ -79,15 +76,15 @@
         deadline,
         last_resort: call.last_resort,
     };
-    let (key, started, service) = {
+    let (key, started, needed) = {
         let mut target = shared.target.lock();
-        let service = target.queue.service_of(call.route);
+        let needed = target.queue.needed(call.route);
         match target.queue.offer(now, job) {
-            Admit::Run(key) => (key, None, service),
+            Admit::Run(key) => (key, None, needed),
             Admit::Wait(key) => {
                 let (tx, rx) = oneshot::channel();
                 target.waiters.insert(key, tx);
-                (key, Some(rx), service)
+                (key, Some(rx), needed)
             }
             Admit::Refuse(refusal) => return Err(refusal),
         }
@@ -101,9 +98,7 @@
         ended: Ended::Dropped,
     };
     if let Some(started) = started {
-        let latest = deadline
-            .since(now)
-            .saturating_sub(service.mul_f64(START_MARGIN));
+        let latest = deadline.since(now).saturating_sub(needed);
         match tokio::time::timeout(latest, started).await {
             Ok(Ok(result)) => result?,
             Ok(Err(_)) | Err(_) => return Err(Code::CannotStartInTime.into()),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,7 +8,7 @@
 //!   single instances.
 //! - `beside`, `upstream`, `health`: the side that faces the target.
 //! - `link`, `message`, `peers`: other nodes.
-//! - `source`, `versions`: the log, and the routing table in force.
+//! - `source`, `readers`, `versions`: the log, who reads it, and the routing table in force.
 //! - `node`: start and graceful shutdown; `shared`: what the tasks share.
 
 mod attempts;
@@ -23,6 +23,7 @@
 mod names;
 mod node;
 mod peers;
+mod readers;
 mod settings;
 mod shared;
 mod source;
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -18,7 +18,8 @@
 
 use crate::beside;
 use crate::message::{
-    Call, HelloAnswer, LeftLife, Link, LinkClient, Reply, Status, StrikeNote, VersionText,
+    Call, HelloAnswer, LeftLife, Link, LinkClient, ReaderWord, Reply, Status, StrikeNote,
+    VersionUpdate,
 };
 use crate::peers::PeerKey;
 use crate::shared::{Phase, Shared, pause};
@@ -34,13 +35,12 @@
 /// Time for the answer to a status call. A busy node on a fifth of a core answers within some
 /// hundred milliseconds.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Time between status calls to a node in a small mesh. Half of the time in which a version must
-/// be seen that the store did not deliver.
+/// Time between status calls to a node in a small mesh. Nodes that owe a reply are asked at once.
 const STATUS_INTERVAL: Duration = Duration::from_millis(500);
 /// Status calls that a node makes per second at most; with more nodes each one is asked less often.
-const STATUS_CALLS_PER_S: f64 = 25.0;
+const STATUS_CALLS_PER_S: f64 = 12.0;
 /// Longest time between status calls, for large meshes.
-const MAX_STATUS_INTERVAL: Duration = Duration::from_secs(4);
+const MAX_STATUS_INTERVAL: Duration = Duration::from_secs(10);
 /// Waits between attempts to connect.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
@@ -66,7 +66,7 @@
 
     async fn status(self, _: Context, from: Status) -> Status {
         note_version(&self.0, from.version);
-        self.0.peers.lock().told(from);
+        self.0.peers.lock().told(self.0.now(), from);
         self.0.status(self.0.now())
     }
 
@@ -78,8 +78,16 @@
         beside::take_strike(&self.0, strike);
     }
 
-    async fn newer_version(self, _: Context, than: u64) -> Option<VersionText> {
-        self.0.versions.newer_than(than)
+    async fn reader_word(self, _: Context, word: ReaderWord) {
+        if word.working {
+            self.0.heard.lock().working_reader(self.0.now());
+        }
+        self.0.peers.lock().heard_version(word.link, word.version);
+        note_version(&self.0, word.version);
+    }
+
+    async fn update_from(self, _: Context, than: u64) -> Option<VersionUpdate> {
+        self.0.versions.update_from(than)
     }
 }
 
@@ -199,7 +207,10 @@
         .ok()?;
     take_left(shared, &answer.your_left);
     let version = answer.status.version;
-    shared.peers.lock().connected(key, client, answer.status);
+    shared
+        .peers
+        .lock()
+        .connected(shared.now(), key, client, answer.status);
     for node in answer.nodes {
         shared.add_peer(node);
     }
@@ -226,9 +237,15 @@
 
 /// Asks for the node's status at intervals until it does not answer; returns why it ended.
 async fn keep_asking(shared: &Arc<Shared>, key: PeerKey) -> &'static str {
+    let Some(doubts) = shared.peers.lock().doubts(key) else {
+        return "unknown";
+    };
     loop {
-        if !pause(shared, status_interval(shared)).await {
-            return "the node stops";
+        tokio::select! {
+            goes_on = pause(shared, status_interval(shared)) => if !goes_on {
+                return "the node stops";
+            },
+            () = doubts.notified() => {}
         }
         let Some(client) = shared.peers.lock().client(key) else {
             return "disconnected";
@@ -239,7 +256,7 @@
         match tokio::time::timeout(STATUS_TIMEOUT, asked).await {
             Ok(Ok(status)) => {
                 note_version(shared, status.version);
-                shared.peers.lock().answered(key, status);
+                shared.peers.lock().answered(shared.now(), key, status);
             }
             Ok(Err(_)) => return "the connection broke",
             Err(_) => return "no answer to a status call",
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -6,6 +6,7 @@
 
 use admit::QueueState;
 use bytes::Bytes;
+use config::Delta;
 use serde::{Deserialize, Serialize};
 use wire::{Code, Domain, Fingerprint, Load, Refusal, ServiceName, UnixMillis};
 
@@ -22,8 +23,10 @@
     async fn call(call: Call) -> Reply;
     /// Tells that a target died while it ran a request.
     async fn strike(strike: StrikeNote);
-    /// Returns the newest routing table if it is newer than `than`.
-    async fn newer_version(than: u64) -> Option<VersionText>;
+    /// Tells of a reader's version and whether its reads succeed.
+    async fn reader_word(word: ReaderWord);
+    /// Returns what brings a node with version `than` to the newest one.
+    async fn update_from(than: u64) -> Option<VersionUpdate>;
 }
 
 /// What a node says of itself.
@@ -39,6 +42,10 @@
     pub(crate) service: ServiceName,
     /// Version of the routing table in force, 0 for none.
     pub(crate) version: u64,
+    /// Speed of the instance's link in megabits per second.
+    pub(crate) link_mbps: u32,
+    /// Whether the node is about to stop.
+    pub(crate) leaving: bool,
     /// The queue of its target.
     pub(crate) queue: WireQueue,
     /// Lives of its target that have left.
@@ -208,9 +215,21 @@
     pub(crate) started: UnixMillis,
 }
 
-/// A routing table as its source delivered it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct VersionText {
+/// The word of a node that reads versions in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ReaderWord {
+    pub(crate) link: SocketAddr,
+    /// The version that it has in force.
     pub(crate) version: u64,
-    pub(crate) text: Bytes,
+    /// Whether its reads succeed.
+    pub(crate) working: bool,
+}
+
+/// What brings a node to a newer version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum VersionUpdate {
+    /// The text as its source delivered it.
+    Whole(Bytes),
+    /// Edits of the text that the asker has, both cut into lines at the ends of rows.
+    Delta(Delta),
 }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -70,6 +70,8 @@
         tasks.spawn(link::announce(shared.clone()));
         tasks.spawn(source::register(shared.clone()));
         tasks.spawn(source::follow_versions(shared.clone()));
+        tasks.spawn(source::follow_peers(shared.clone()));
+        tasks.spawn(source::speak_as_reader(shared.clone()));
         tasks.spawn(health::confirm_lives(shared.clone()));
         tasks.spawn(health::watch_quiet(shared.clone()));
         Ok(Node { shared, tasks })
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -1,15 +1,19 @@
 //! The other nodes, as this node knows them.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use admit::QueueState;
-use route::Candidate;
+use route::{Candidate, WayTime};
 use slotmap::{SlotMap, new_key_type};
+use tokio::sync::Notify;
 use wire::{Domain, ServiceName, Time};
 
 use crate::message::{LeftLife, LinkClient, Status};
+use crate::readers;
 
 /// A node that has owed an answer to a status call for longer is placed last. Round trips take a
 /// few milliseconds; a busy node on a fifth of a core may take some tens more.
@@ -18,6 +22,9 @@
 /// refusal now serves the caller better than an unknown outcome later.
 const UNUSED_AFTER: Duration = Duration::from_millis(600);
 
+/// Nodes of other failure domains to which a reader speaks.
+const FAR_AUDIENCE: usize = 2;
+
 new_key_type! {
     /// Another node.
     pub(crate) struct PeerKey;
@@ -36,9 +43,14 @@
     /// Set while a connection to the node stands.
     client: Option<LinkClient>,
     status: Option<Status>,
+    /// When the status or the queue was told last.
+    told_at: Time,
     sent_since: u32,
+    way: WayTime,
     /// When a status call was sent that has not been answered.
     asked: Option<Time>,
+    /// Wakes the task that asks for the status.
+    doubt: Arc<Notify>,
     left: Vec<LeftLife>,
 }
 
@@ -52,19 +64,28 @@
             link,
             client: None,
             status: None,
+            told_at: Time::ZERO,
             sent_since: 0,
+            way: WayTime::default(),
             asked: None,
+            doubt: Arc::default(),
             left: Vec::new(),
         });
         self.by_link.insert(link, key);
         Some(key)
     }
 
-    pub(crate) fn connected(&mut self, key: PeerKey, client: LinkClient, status: Status) {
+    pub(crate) fn connected(
+        &mut self,
+        now: Time,
+        key: PeerKey,
+        client: LinkClient,
+        status: Status,
+    ) {
         if let Some(peer) = self.by_key.get_mut(key) {
             peer.client = Some(client);
             peer.asked = None;
-            peer.take_status(status);
+            peer.take_status(now, status);
         }
     }
 
@@ -83,16 +104,16 @@
     }
 
     /// Takes the answer to a status call.
-    pub(crate) fn answered(&mut self, key: PeerKey, status: Status) {
+    pub(crate) fn answered(&mut self, now: Time, key: PeerKey, status: Status) {
         if let Some(peer) = self.by_key.get_mut(key) {
             peer.asked = None;
-            peer.take_status(status);
+            peer.take_status(now, status);
         }
     }
 
     /// Takes a status that a node sent by itself. One of another life of the node, or an older
     /// one, says nothing about what the present connection leads to.
-    pub(crate) fn told(&mut self, status: Status) {
+    pub(crate) fn told(&mut self, now: Time, status: Status) {
         let Some(key) = self.by_link.get(&status.link) else {
             return;
         };
@@ -101,20 +122,53 @@
         };
         let known = peer.status.as_ref();
         if known.is_some_and(|s| s.life == status.life && s.sequence < status.sequence) {
-            peer.take_status(status);
+            peer.take_status(now, status);
+        }
+    }
+
+    /// Takes the time that a request took on the way.
+    pub(crate) fn measured(&mut self, key: PeerKey, way: Duration, body_bytes: usize) {
+        if let Some(peer) = self.by_key.get_mut(key) {
+            peer.way.measure(way, body_bytes);
         }
     }
 
     /// Takes the queue state that came with a reply.
-    pub(crate) fn queue(&mut self, key: PeerKey, queue: QueueState) {
+    pub(crate) fn queue(&mut self, now: Time, key: PeerKey, queue: QueueState) {
         if let Some(status) = self.by_key.get_mut(key).and_then(|p| p.status.as_mut()) {
             status.queue = queue.into();
         }
         if let Some(peer) = self.by_key.get_mut(key) {
+            peer.told_at = now;
             peer.sent_since = 0;
         }
     }
 
+    /// Asks for a status call now if nothing has come from the node for `quiet`.
+    pub(crate) fn doubt(&self, now: Time, key: PeerKey, quiet: Duration) {
+        if let Some(peer) = self.by_key.get(key)
+            && now.since(peer.told_at) >= quiet
+        {
+            peer.doubt.notify_one();
+        }
+    }
+
+    /// Returns what wakes the task that asks for the node's status.
+    pub(crate) fn doubts(&self, key: PeerKey) -> Option<Arc<Notify>> {
+        Some(self.by_key.get(key)?.doubt.clone())
+    }
+
+    /// Takes the version that a reader says it has.
+    pub(crate) fn heard_version(&mut self, link: SocketAddr, version: u64) {
+        let peer = self
+            .by_link
+            .get(&link)
+            .and_then(|k| self.by_key.get_mut(*k));
+        if let Some(status) = peer.and_then(|p| p.status.as_mut()) {
+            status.version = version;
+        }
+    }
+
     pub(crate) fn sent(&mut self, key: PeerKey) {
         if let Some(peer) = self.by_key.get_mut(key) {
             peer.sent_since += 1;
@@ -127,6 +181,7 @@
         now: Time,
         service: &ServiceName,
         domain: &Domain,
+        body_bytes: usize,
     ) -> Vec<Candidate<PeerKey>> {
         let owes = |p: &Peer| p.asked.map_or(Duration::ZERO, |at| now.since(at));
         self.by_key
@@ -139,15 +194,76 @@
                     key,
                     near: status.domain == *domain,
                     load: queue.load,
+                    age: now.since(p.told_at),
                     sent_since: p.sent_since,
                     service: queue.service,
                     failing: f64::from(queue.failing),
+                    on_the_way: p.way.expected(body_bytes),
                     silent: owes(p) > SILENT_AFTER,
                 })
             })
             .collect()
     }
 
+    /// Returns the ranks for reading of the nodes in `domain` that can read.
+    pub(crate) fn reader_ranks(&self, domain: &Domain) -> impl Iterator<Item = readers::Rank> {
+        self.by_key.values().filter_map(move |p| {
+            let status = p.status.as_ref().filter(|_| p.client.is_some())?;
+            let reads = status.domain == *domain && status.version > 0 && !status.leaving;
+            reads.then(|| readers::rank(&status.domain, p.link, status.link_mbps))
+        })
+    }
+
+    /// Returns the connected nodes in the order in which to ask them for a version newer than `than`:
+    /// first the one that brought the present version, since it can send the difference, then those
+    /// with the newest version, those of `domain` before others.
+    pub(crate) fn sources(
+        &self,
+        domain: &Domain,
+        than: u64,
+        last: Option<PeerKey>,
+    ) -> Vec<(PeerKey, LinkClient)> {
+        let mut sources: Vec<_> = self
+            .by_key
+            .iter()
+            .filter_map(|(key, p)| {
+                let status = p.status.as_ref()?;
+                let is_last = last == Some(key) && status.version > than;
+                let rank = (
+                    !is_last,
+                    Reverse(status.version.max(than)),
+                    status.domain != *domain,
+                );
+                Some((rank, key, p.client.clone()?))
+            })
+            .collect();
+        sources.sort_by_key(|(rank, ..)| *rank);
+        sources
+            .into_iter()
+            .map(|(_, key, client)| (key, client))
+            .collect()
+    }
+
+    /// Returns the connected nodes to which a reader speaks: those of its failure domain, and the
+    /// likely readers of the others, by which a version crosses when a domain's reads fail.
+    pub(crate) fn audience(&self, domain: &Domain) -> Vec<LinkClient> {
+        let near = |p: &&Peer| p.status.as_ref().is_some_and(|s| s.domain == *domain);
+        let connected = self.by_key.values().filter(|p| p.client.is_some());
+        let (near, far): (Vec<_>, Vec<_>) = connected.partition(near);
+        let mut far: Vec<_> = far
+            .into_iter()
+            .filter_map(|p| {
+                let s = p.status.as_ref()?;
+                Some((readers::rank(&s.domain, p.link, s.link_mbps), p))
+            })
+            .collect();
+        far.sort_by_key(|(rank, _)| Reverse(*rank));
+        let told = near
+            .into_iter()
+            .chain(far.into_iter().take(FAR_AUDIENCE).map(|(_, p)| p));
+        told.filter_map(|p| p.client.clone()).collect()
+    }
+
     pub(crate) fn client(&self, key: PeerKey) -> Option<LinkClient> {
         self.by_key.get(key)?.client.clone()
     }
@@ -180,7 +296,8 @@
 }
 
 impl Peer {
-    fn take_status(&mut self, status: Status) {
+    fn take_status(&mut self, now: Time, status: Status) {
+        self.told_at = now;
         for life in &status.left {
             if !self.left.contains(life) {
                 self.left.push(life.clone());
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -21,6 +21,8 @@
     pub link: SocketAddr,
     /// The own failure domain.
     pub domain: Domain,
+    /// Speed of the instance's link in megabits per second.
+    pub link_mbps: u32,
     /// What may change while the node runs.
     pub target: TargetSettings,
     /// Names of the headers.
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use admit::{JobKey, QueueState, Settled, TargetQueue};
@@ -21,6 +21,7 @@
 use crate::latency::Latencies;
 use crate::message::{Call, LeftLife, Status};
 use crate::peers::{PeerKey, Peers};
+use crate::readers::{self, Heard};
 use crate::settings::{Settings, TargetSettings};
 use crate::upstream::Upstream;
 use crate::versions::Versions;
@@ -82,8 +83,12 @@
     pub(crate) new_peers: mpsc::UnboundedSender<PeerKey>,
     /// Wakes the task that tells other nodes of a changed status.
     pub(crate) status_changed: Notify,
-    /// Wakes the reader of versions when another node has a newer one.
+    /// Wakes the task that asks other nodes for a newer version.
     pub(crate) version_behind: Notify,
+    /// What was heard of the nodes that read versions.
+    pub(crate) heard: Mutex<Heard>,
+    /// Whether the own reads of versions succeed.
+    pub(crate) log_works: AtomicBool,
     /// Wakes the task that asks the target's health endpoint.
     pub(crate) probe_health: Notify,
     /// Counts how often the target was found dead with requests on it.
@@ -143,6 +148,8 @@
             new_peers,
             status_changed: Notify::new(),
             version_behind: Notify::new(),
+            heard: Mutex::default(),
+            log_works: AtomicBool::new(false),
             probe_health: Notify::new(),
             losses: watch::Sender::new(0),
             tasks: TaskTracker::new(),
@@ -200,6 +207,8 @@
             domain: self.settings.domain.clone(),
             service: self.service(),
             version: self.versions.number(),
+            link_mbps: self.settings.link_mbps,
+            leaving: self.phase() != Phase::Serving,
             queue: self.queue_for_peers(now).into(),
             left,
         }
@@ -304,6 +313,14 @@
         self.target.lock().own.usable().map(|r| r.life.clone())
     }
 
+    /// Returns whether this node should read the versions in the log.
+    pub(crate) fn should_read(&self, now: Time) -> bool {
+        let s = &self.settings;
+        let own = readers::rank(&s.domain, s.link, s.link_mbps);
+        let peers = self.peers.lock();
+        readers::is_reader(own, peers.reader_ranks(&s.domain)) || !self.heard.lock().is_served(now)
+    }
+
     /// Waits until the target is found dead.
     pub(crate) async fn target_lost(&self) {
         let mut rx = self.losses.subscribe();
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,9 +16,11 @@
 use wire::Offset;
 
 use crate::link::context;
-use crate::message::VersionText;
+use crate::message::ReaderWord;
+use crate::peers::PeerKey;
+use crate::readers::READER_INTERVAL;
 use crate::shared::{Phase, Shared, pause};
-use crate::versions::Adopted;
+use crate::versions::{Adopted, VersionError};
 
 /// Wait of one long poll; the longest that common logs allow, since each poll is priced.
 const POLL_WAIT: Duration = Duration::from_secs(30);
@@ -25,9 +28,19 @@
 /// version must be applied after the log is back.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
+/// Least time between two reads, so that versions in quick succession are read as one. Texts of
+/// 100 KB are a tenth of a second of the slowest links, and a version must be applied within 2 s.
+const READ_GAP: Duration = Duration::from_millis(600);
+/// Time between looks at whether this node should read.
+const ROLE_INTERVAL: Duration = Duration::from_millis(400);
 /// Time that the log has to deliver a version of which another node has told.
-const PEER_LEAD: Duration = Duration::from_millis(150);
+const PEER_LEAD: Duration = Duration::from_millis(700);
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for the update of another node; a whole text is a tenth of a second of the slowest links,
+/// and asking again too soon makes a full link fuller.
+const UPDATE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Nodes asked for one update; more would only repeat that there is none.
+const MAX_ASKED: usize = 4;
 
 /// Adds the own node to the stream of nodes and reads the others.
 pub(crate) async fn register(shared: Arc<Shared>) {
@@ -63,45 +76,107 @@
     Ok(())
 }
 
-/// Follows the versions in the log, and asks other nodes for those that the log does not deliver.
+/// Follows the versions in the log while this node is one that reads.
 pub(crate) async fn follow_versions(shared: Arc<Shared>) {
     let mut from: Option<Offset> = None;
     let mut backoff = Backoff::new();
-    let mut reachable = true;
     loop {
         let step = tokio::select! {
             step = read_step(&shared, from) => step,
-            () = ask_peers_when_behind(&shared) => continue,
+            () = relieved(&shared) => {
+                shared.log_works.store(false, Ordering::Relaxed);
+                if !idle_until_needed(&shared).await {
+                    return;
+                }
+                // Too much may have been written since to read all of it.
+                from = None;
+                continue;
+            }
             () = shared.reached(Phase::Stopped) => return,
         };
-        match step {
-            Ok(next) => {
-                from = Some(next);
+        let wait = match step {
+            Ok(Step { next, burst }) => {
+                from = (!burst).then_some(next);
                 backoff = Backoff::new();
-                if !reachable {
-                    log::info!(event = "log_regained"; "the log answers again");
+                if !shared.log_works.swap(true, Ordering::Relaxed) {
+                    log::info!(event = "log_regained"; "the log answers");
                 }
-                reachable = true;
+                READ_GAP
+            }
+            Err(LogError::Expired { .. }) => {
+                from = None;
+                Duration::ZERO
             }
-            Err(LogError::Expired { .. }) => from = None,
             Err(e) => {
                 shared.metrics.count(Metric::LogFailures);
-                if reachable {
+                if shared.log_works.swap(false, Ordering::Relaxed) {
                     log::warn!(event = "log_lost", error:% = e; "the log does not answer");
                 }
-                reachable = false;
-                let wait = backoff.next(&shared);
-                tokio::select! {
-                    goes_on = pause(&shared, wait) => if !goes_on { return },
-                    () = ask_peers_when_behind(&shared) => {}
-                }
+                backoff.next(&shared)
             }
+        };
+        if !pause(&shared, wait).await {
+            return;
         }
     }
 }
 
+/// Waits until this node has a version and others read for it.
+async fn relieved(shared: &Shared) {
+    while shared.versions.number() == 0 || shared.should_read(shared.now()) {
+        tokio::time::sleep(ROLE_INTERVAL).await;
+    }
+}
+
+/// Waits until this node has to read. Returns whether it goes on.
+async fn idle_until_needed(shared: &Shared) -> bool {
+    loop {
+        if !pause(shared, ROLE_INTERVAL).await {
+            return false;
+        }
+        if shared.should_read(shared.now()) {
+            return true;
+        }
+    }
+}
+
+/// Tells other nodes, while this node reads, of its version and that its reads succeed.
+pub(crate) async fn speak_as_reader(shared: Arc<Shared>) {
+    let mut changes = shared.versions.changes();
+    loop {
+        tokio::select! {
+            goes_on = pause(&shared, READER_INTERVAL) => if !goes_on { return },
+            // The sender lives as long as `shared`.
+            _ = changes.changed() => {}
+        }
+        let working = shared.log_works.load(Ordering::Relaxed);
+        if !working || shared.versions.number() == 0 {
+            continue;
+        }
+        let word = ReaderWord {
+            link: shared.settings.link,
+            version: shared.versions.number(),
+            working,
+        };
+        for client in shared.peers.lock().audience(&shared.settings.domain) {
+            shared.tasks.spawn(async move {
+                // The next word makes up for a lost one.
+                let _ = client.reader_word(context(PEER_TIMEOUT), word).await;
+            });
+        }
+    }
+}
+
+/// A read of the log.
+struct Step {
+    /// Where to read on.
+    next: Offset,
+    /// Whether several versions came at once, so that reading the newest one only is cheaper.
+    burst: bool,
+}
+
 /// Reads the newest version, or waits for records after `from`; returns where to read on.
-async fn read_step(shared: &Shared, from: Option<Offset>) -> Result<Offset, LogError> {
+async fn read_step(shared: &Shared, from: Option<Offset>) -> Result<Step, LogError> {
     let source = &shared.settings.source;
     let key = source.version_key.as_bytes();
     let Some(from) = from else {
@@ -109,7 +184,10 @@
         for record in newest.records.into_iter().filter(|r| r.key == key) {
             adopt(shared, record.value.into(), "log");
         }
-        return Ok(newest.end);
+        return Ok(Step {
+            next: newest.end,
+            burst: false,
+        });
     };
     let batch = source
         .log
@@ -119,6 +197,7 @@
         .records
         .last()
         .map_or(from.max(batch.end), |r| Offset(r.offset.0 + 1));
+    let burst = batch.records.len() > 1;
     // Of several versions only the newest is put in force.
     let versions = batch.records.iter().rev().filter_map(|r| {
         let keyed = decode_keyed(r.offset, &r.data);
@@ -132,18 +211,23 @@
             break;
         }
     }
-    Ok(next)
+    Ok(Step { next, burst })
 }
 
 /// Puts a text in force if it is newer and valid; returns whether it was readable.
 fn adopt(shared: &Shared, text: Bytes, origin: &str) -> bool {
-    match shared.versions.adopt(text) {
+    let adopted = shared.versions.adopt(text);
+    note_adopted(shared, adopted, origin)
+}
+
+/// Logs what became of a text and does what follows; returns whether the text was readable.
+fn note_adopted(shared: &Shared, adopted: Result<Adopted, VersionError>, origin: &str) -> bool {
+    match adopted {
         Ok(Adopted::Yes { version }) => {
             shared.metrics.count(Metric::VersionsApplied);
             shared.metrics.set(Metric::Version, version);
             log::info!(event = "version", version, origin; "a routing table is in force");
             forget_old_routes(shared);
-            shared.status_changed.notify_one();
             true
         }
         Ok(Adopted::NotNewer { version }) => {
@@ -165,30 +249,40 @@
     }
 }
 
-/// Waits until another node has told of a newer version, gives the log a moment to deliver it, and
-/// fetches it from the nodes otherwise. Returns when the log should be read anew.
-async fn ask_peers_when_behind(shared: &Shared) {
+/// Asks other nodes for a newer version whenever one of them has told of it.
+pub(crate) async fn follow_peers(shared: Arc<Shared>) {
+    let mut last = None;
     loop {
-        shared.version_behind.notified().await;
-        let known = shared.versions.number();
-        let mut changes = shared.versions.changes();
-        let delivered = changes.wait_for(|v| *v > known);
-        if tokio::time::timeout(PEER_LEAD, delivered).await.is_ok() {
-            continue;
+        tokio::select! {
+            () = shared.version_behind.notified() => {}
+            () = shared.reached(Phase::Stopped) => return,
         }
-        if let Some(newer) = ask_peers(shared, known).await {
-            adopt(shared, newer.text, "node");
+        // A node that reads gets most versions from the log at the same time.
+        if shared.log_works.load(Ordering::Relaxed) && !pause(&shared, PEER_LEAD).await {
             return;
         }
+        last = ask_peers(&shared, last).await;
     }
 }
 
-async fn ask_peers(shared: &Shared, than: u64) -> Option<VersionText> {
-    let clients = shared.peers.lock().clients();
-    for (_, client) in clients {
-        let asked = client.newer_version(context(PEER_TIMEOUT), than);
-        if let Ok(Ok(Some(newer))) = tokio::time::timeout(PEER_TIMEOUT, asked).await {
-            return Some(newer);
+/// Asks one node after the other; returns the one that brought a newer version.
+async fn ask_peers(shared: &Shared, last: Option<PeerKey>) -> Option<PeerKey> {
+    let than = shared.versions.number();
+    let sources = shared
+        .peers
+        .lock()
+        .sources(&shared.settings.domain, than, last);
+    for (key, client) in sources.into_iter().take(MAX_ASKED) {
+        if shared.versions.number() > than {
+            return last;
+        }
+        let asked = client.update_from(context(UPDATE_TIMEOUT), than);
+        let Ok(Ok(Some(update))) = tokio::time::timeout(UPDATE_TIMEOUT, asked).await else {
+            continue;
+        };
+        let adopted = shared.versions.adopt_update(update);
+        if note_adopted(shared, adopted, "node") {
+            return Some(key);
         }
     }
     None
--- a/crates/proxy/src/versions.rs
+++ b/crates/proxy/src/versions.rs
@@ -2,20 +2,27 @@
 //!
 //! A version is taken whole, and only if it is newer than the one in force, whoever brings it.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
-use config::{RawRouting, Routing, RoutingError};
+use config::{Delta, RawRouting, Routing, RoutingError};
 use parking_lot::Mutex;
 use snafu::Snafu;
 use tokio::sync::watch;
 
-use crate::message::VersionText;
+use crate::message::VersionUpdate;
 
 /// Reads the text of a version, in the format of the deployment.
 pub type DecodeVersion = fn(&[u8]) -> Result<RawRouting, String>;
 
+/// Texts that are kept so that nodes which lag by a few versions get a delta. Texts have some 100 KB.
+const MAX_KEPT: usize = 8;
+/// Ends of rows in the texts of the deployments, after which they are cut into lines for deltas.
+const ROW_END: &str = "],[";
+const ROW_CUT: &str = "],\n[";
+
 /// Why a text was not taken.
 #[derive(Clone, Debug, Snafu)]
 pub enum VersionError {
@@ -31,6 +38,9 @@
         /// The rule.
         source: RoutingError,
     },
+    /// A delta does not fit the version in force.
+    #[snafu(display("the delta does not fit the version in force"))]
+    OtherBase,
 }
 
 /// What became of a text.
@@ -48,11 +58,19 @@
     },
 }
 
-/// The version in force and its text, which other nodes may ask for.
+#[derive(Clone, Debug)]
+struct Kept {
+    version: u64,
+    text: Bytes,
+}
+
+/// The version in force, and the last texts for nodes that lag.
 pub(crate) struct Versions {
     decode: DecodeVersion,
     table: ArcSwapOption<Routing>,
-    text: Mutex<Option<VersionText>>,
+    kept: Mutex<VecDeque<Kept>>,
+    /// The delta that was asked for last, with its base: most nodes lag by the same versions.
+    delta: Mutex<Option<(u64, u64, Delta)>>,
     number: watch::Sender<u64>,
 }
 
@@ -69,7 +87,8 @@
         Versions {
             decode,
             table: ArcSwapOption::empty(),
-            text: Mutex::new(None),
+            kept: Mutex::default(),
+            delta: Mutex::default(),
             number: watch::Sender::new(0),
         }
     }
@@ -79,17 +98,34 @@
         let raw = (self.decode)(&text).map_err(|reason| VersionError::Unreadable { reason })?;
         let version = raw.version;
         // The lock makes the comparison and the change one step.
-        let mut held = self.text.lock();
+        let mut kept = self.kept.lock();
         if version <= self.number() {
             return Ok(Adopted::NotNewer { version });
         }
         let table = Routing::try_from(raw).map_err(|source| VersionError::Invalid { source })?;
         self.table.store(Some(Arc::new(table)));
-        *held = Some(VersionText { version, text });
+        if kept.len() == MAX_KEPT {
+            kept.pop_front();
+        }
+        kept.push_back(Kept { version, text });
         self.number.send_replace(version);
         Ok(Adopted::Yes { version })
     }
 
+    /// Puts the update of another node in force if it is valid and newer.
+    pub(crate) fn adopt_update(&self, update: VersionUpdate) -> Result<Adopted, VersionError> {
+        match update {
+            VersionUpdate::Whole(text) => self.adopt(text),
+            VersionUpdate::Delta(delta) => {
+                let present = self.kept.lock().back().map(|k| k.text.clone());
+                let base = present.as_deref().and_then(lines);
+                let result = base.and_then(|base| delta.apply(&base).ok());
+                let text = result.ok_or(VersionError::OtherBase)?;
+                self.adopt(text.replace('\n', "").into())
+            }
+        }
+    }
+
     pub(crate) fn table(&self) -> Option<Arc<Routing>> {
         self.table.load_full()
     }
@@ -103,7 +139,32 @@
         self.number.subscribe()
     }
 
-    pub(crate) fn newer_than(&self, than: u64) -> Option<VersionText> {
-        self.text.lock().clone().filter(|t| t.version > than)
+    /// Returns what a node with version `than` needs, or `None` if the one in force isn't newer.
+    pub(crate) fn update_from(&self, than: u64) -> Option<VersionUpdate> {
+        let kept = self.kept.lock();
+        let newest = kept.back().filter(|k| k.version > than)?;
+        let base = kept.iter().find(|k| k.version == than);
+        Some(match base.and_then(|base| self.delta(base, newest)) {
+            Some(delta) => VersionUpdate::Delta(delta),
+            None => VersionUpdate::Whole(newest.text.clone()),
+        })
+    }
+
+    fn delta(&self, base: &Kept, newest: &Kept) -> Option<Delta> {
+        let mut last = self.delta.lock();
+        if let Some((from, to, delta)) = &*last
+            && (*from, *to) == (base.version, newest.version)
+        {
+            return Some(delta.clone());
+        }
+        let delta = Delta::between(&lines(&base.text)?, &lines(&newest.text)?);
+        *last = Some((base.version, newest.version, delta.clone()));
+        Some(delta)
     }
 }
+
+/// Cuts a text into lines, one a row; `None` if it has lines of its own.
+fn lines(text: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(text).ok()?;
+    (!text.contains('\n')).then(|| text.replace(ROW_END, ROW_CUT))
+}
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -119,6 +119,7 @@
             callers,
             link,
             domain: "d1".into(),
+            link_mbps: 100,
             target: TargetSettings {
                 service: service.into(),
                 addr: target,
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -15,12 +15,23 @@
 /// Part of the service time that a fully used target adds over an empty one. Targets slow down
 /// when they are nearly full, and reports are late.
 const FULL_PENALTY: f64 = 1.0;
+/// Instances that are compared for one request.
+const COMPARED: usize = 5;
+/// Service times after which a report says little of the queue.
+const QUEUE_LIFETIME: u32 = 8;
+/// Least such time in seconds; reports travel for some milliseconds.
+const MIN_LIFETIME_S: f64 = 0.02;
 /// Price of a kilobyte that crosses failure domains, as time. The tariff takes 0.65 % of a request's
 /// worth per kilobyte, which is 2.6 ms of an objective of 400 ms; a wait takes about a fifth of the
 /// part of the objective that it fills, since most requests that wait are still on time.
 const REMOTE_PER_KB: Duration = Duration::from_millis(13);
 /// Bytes of heads and frames beside the bodies of a request and its answer.
 const FRAME_BYTES: usize = 600;
+/// Weight of a new measurement of the time on the way: about the last 8 requests count.
+const WAY_WEIGHT: f64 = 0.125;
+/// Bodies below this measure the time that each request takes on the way, larger ones what each
+/// kilobyte adds.
+const SMALL_BYTES: usize = 4_000;
 /// Failure rate from which an instance counts as failing everything.
 const MAX_FAILING: f64 = 0.95;
 /// Longest wait that is told to callers of a full service.
@@ -35,20 +46,56 @@
     pub near: bool,
     /// The load that its node has told last.
     pub load: Load,
+    /// Age of that report.
+    pub age: Duration,
     /// Requests sent to it since that report.
     pub sent_since: u32,
     /// Mean time that a request holds a slot there.
     pub service: Duration,
     /// Part of the recent requests that it failed, 0 to 1.
     pub failing: f64,
+    /// Measured time on the way to and from it, beside queue and target.
+    pub on_the_way: Duration,
     /// Whether its node has been silent for longer than usual.
     pub silent: bool,
 }
 
-/// Estimates the time from sending a request until its answer.
-pub fn expected_time<K>(c: &Candidate<K>, body_bytes: usize) -> Duration {
+/// Measured time on the way to one instance and back. A slow link or a busy node beside a fast
+/// target is part of that target's speed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WayTime {
+    each_s: f64,
+    per_kb_s: f64,
+}
+
+impl WayTime {
+    /// Takes the time that a request with a body of this size took on the way.
+    pub fn measure(&mut self, took: Duration, body_bytes: usize) {
+        let took = took.as_secs_f64();
+        if body_bytes < SMALL_BYTES {
+            self.each_s += WAY_WEIGHT * (took - self.each_s);
+            return;
+        }
+        let per_kb = (took - self.each_s).max(0.0) / kilobytes(body_bytes);
+        self.per_kb_s += WAY_WEIGHT * (per_kb - self.per_kb_s);
+    }
+
+    /// Returns the expected time on the way of a request with a body of this size.
+    pub fn expected(&self, body_bytes: usize) -> Duration {
+        let body = if body_bytes < SMALL_BYTES {
+            0.0
+        } else {
+            self.per_kb_s * kilobytes(body_bytes)
+        };
+        Duration::from_secs_f64(self.each_s + body)
+    }
+}
+
+/// Estimates the time from sending a request until its answer. `usual` is the usual number of
+/// requests a slot in the service.
+pub fn expected_time<K>(c: &Candidate<K>, usual: f64, body_bytes: usize) -> Duration {
     let slots = f64::from(c.load.slots.max(1));
-    let present = f64::from(c.load.in_flight + c.load.queued + c.sent_since);
+    let present = present(c, usual);
     let service = c.service.as_secs_f64();
     let waiting = (present + 1.0 - slots).max(0.0);
     let wait = waiting * service / slots;
@@ -59,7 +106,23 @@
         remote_price(body_bytes)
     };
     let served = 1.0 - c.failing.clamp(0.0, MAX_FAILING);
-    Duration::from_secs_f64((service + wait + full) / (served * served) + remote)
+    let way = c.on_the_way.as_secs_f64();
+    Duration::from_secs_f64((service + wait + full + way) / (served * served) + remote)
+}
+
+/// Estimates the requests that an instance has now. What a report said of its queue is worth less
+/// the older it is: after a few service times the queue is as long as usual.
+fn present<K>(c: &Candidate<K>, usual: f64) -> f64 {
+    let told = f64::from(c.load.in_flight + c.load.queued + c.sent_since);
+    let lifetime = (c.service * QUEUE_LIFETIME).as_secs_f64();
+    let weight = (-c.age.as_secs_f64() / lifetime.max(MIN_LIFETIME_S)).exp();
+    told * weight + usual * f64::from(c.load.slots) * (1.0 - weight)
+}
+
+/// Returns the mean number of requests a slot, as reported.
+pub fn usual_load<K>(candidates: &[Candidate<K>]) -> f64 {
+    let sum = |f: fn(&Load) -> u32| candidates.iter().map(|c| f(&c.load)).sum::<u32>();
+    f64::from(sum(|l| l.in_flight + l.queued)) / f64::from(sum(|l| l.slots).max(1))
 }
 
 /// Returns the key of the instance that is expected to answer first; silent ones come last.
@@ -68,10 +131,11 @@
     candidates: &[Candidate<K>],
     body_bytes: usize,
 ) -> Option<K> {
+    let usual = usual_load(candidates);
     let mut best: Option<(bool, f64, K)> = None;
-    for c in candidates.iter().filter(|c| c.load.slots > 0) {
+    for c in sample(rng, candidates) {
         let varied = 1.0 + JITTER * (unit(rng) - 0.5);
-        let cost = expected_time(c, body_bytes).as_secs_f64() * varied;
+        let cost = expected_time(c, usual, body_bytes).as_secs_f64() * varied;
         let better = best.is_none_or(|(silent, least, _)| (c.silent, cost) < (silent, least));
         if better {
             best = Some((c.silent, cost, c.key));
@@ -95,9 +159,35 @@
         .min(MAX_ROOM)
 }
 
+/// Draws the instances to compare: all of a small service, else some at random by their speed. If
+/// all entry nodes compared all instances by reports that are seconds old, they would all take the
+/// same one.
+fn sample<'a, K>(rng: &mut impl Rng, candidates: &'a [Candidate<K>]) -> Vec<&'a Candidate<K>> {
+    let mut open: Vec<_> = candidates.iter().filter(|c| c.load.slots > 0).collect();
+    if open.len() <= COMPARED {
+        return open;
+    }
+    // Weighted sampling without replacement: the largest of u^(1/w) are drawn.
+    let key = |c: &Candidate<K>, u: f64| {
+        let service = c.service.as_secs_f64().max(MIN_LIFETIME_S);
+        let speed = f64::from(c.load.slots) / (service + c.on_the_way.as_secs_f64());
+        u.max(f64::MIN_POSITIVE).ln() / speed
+    };
+    open.sort_by_cached_key(|c| {
+        let key = key(c, unit(rng));
+        // Keys are at most 0; the order of the bits of a negative number is reversed.
+        (-key).to_bits()
+    });
+    open.truncate(COMPARED);
+    open
+}
+
 fn remote_price(body_bytes: usize) -> f64 {
-    let kb = (body_bytes + FRAME_BYTES) as f64 / 1_000.0;
-    REMOTE_PER_KB.as_secs_f64() * kb
+    REMOTE_PER_KB.as_secs_f64() * kilobytes(body_bytes + FRAME_BYTES)
+}
+
+fn kilobytes(bytes: usize) -> f64 {
+    bytes as f64 / 1_000.0
 }
 
 /// Returns a number in [0, 1).
