Hedge repeatable requests to free slots late in their objective

Cause: lost answers, slow servers and slow links leave a request waiting at one target while others of the service are free; a call that fails so fails its caller's work. Ruled out: hedging by a learned quantile, which grows with the trouble; hedging to full targets, which adds load where there is too much. Change: after 0.7 of the objective a second attempt, for what may be repeated, to an instance with a free slot, within the retry budget; the first good answer counts.

--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -23,6 +23,12 @@
 /// Most requests are answered by then.
 const DOUBT_AFTER: Duration = Duration::from_millis(400);
 
+/// Part of the objective after which a second attempt is made. What is left is enough for most
+/// requests, and few take so long where nothing is wrong.
+const HEDGE_SHARE: f64 = 0.7;
+/// Least time that an attempt has to itself.
+const MIN_HEDGE_DELAY: Duration = Duration::from_millis(30);
+
 /// What the caller gets.
 #[derive(Debug)]
 pub(crate) enum Final {
@@ -108,14 +114,111 @@
             return progress.refused(refusal, Some(room));
         };
         let last = open.len() == 1 || progress.bounces + 1 >= MAX_BOUNCES;
-        let (outcome, times) = attempt(shared, pending, chosen, now, last).await;
-        progress.times = times;
-        if let Some(done) = next(shared, pending, progress, chosen, outcome, room) {
+        let tried = hedged(shared, pending, progress, &open, chosen, last).await;
+        progress.times = tried.times;
+        if let Some(done) = next(shared, pending, progress, tried.place, tried.outcome, room) {
             return done;
         }
     }
 }
 
+/// An attempt that has ended.
+struct Tried {
+    place: Place,
+    outcome: Outcome,
+    times: Times,
+}
+
+impl Tried {
+    fn new(place: Place, outcome: Outcome, times: Times) -> Tried {
+        Tried {
+            place,
+            outcome,
+            times,
+        }
+    }
+
+    /// Returns whether the caller can't get anything better.
+    fn is_good(&self) -> bool {
+        matches!(&self.outcome, Outcome::Answer(a) if a.status < 500)
+    }
+}
+
+/// Makes an attempt, and a second one elsewhere if the first takes most of the objective and may be
+/// repeated. The first good answer counts; the other attempt is cancelled.
+async fn hedged(
+    shared: &Arc<Shared>,
+    pending: &Pending,
+    progress: &mut Progress,
+    open: &[Candidate<Place>],
+    chosen: Place,
+    last: bool,
+) -> Tried {
+    let now = shared.now();
+    let first = attempt(shared, pending, chosen, now, last);
+    tokio::pin!(first);
+    let patience = pending.due.since(pending.arrived).mul_f64(HEDGE_SHARE);
+    let wait = (pending.arrived + patience).since(now).max(MIN_HEDGE_DELAY);
+    match tokio::time::timeout(wait, &mut first).await {
+        Ok((outcome, times)) => return Tried::new(chosen, outcome, times),
+        Err(_) if !pending.call.repeatable => {
+            let (outcome, times) = first.await;
+            return Tried::new(chosen, outcome, times);
+        }
+        Err(_) => {}
+    }
+    let Some(other) = hedge_target(shared, pending, progress, open, chosen) else {
+        let (outcome, times) = first.await;
+        return Tried::new(chosen, outcome, times);
+    };
+    // The second attempt is one more target; the caller of this function counts only one.
+    progress.sends += 1;
+    shared.metrics.count(Metric::Hedges);
+    let second = attempt(shared, pending, other, shared.now(), true);
+    tokio::pin!(second);
+    let (tried, rest) = tokio::select! {
+        (outcome, times) = &mut first => (Tried::new(chosen, outcome, times), other),
+        (outcome, times) = &mut second => (Tried::new(other, outcome, times), chosen),
+    };
+    if tried.is_good() {
+        return tried;
+    }
+    let (outcome, times) = if rest == other {
+        second.await
+    } else {
+        first.await
+    };
+    let rest = Tried::new(rest, outcome, times);
+    if rest.is_good() || matches!(tried.outcome, Outcome::Refused(_)) {
+        return rest;
+    }
+    tried
+}
+
+/// Chooses where a second attempt may go: only where a slot is free, so that hedging adds no load to
+/// a service that is full, and within the retry budget.
+fn hedge_target(
+    shared: &Shared,
+    pending: &Pending,
+    progress: &Progress,
+    open: &[Candidate<Place>],
+    chosen: Place,
+) -> Option<Place> {
+    if progress.sends + 2 > pending.rule.max_attempts {
+        return None;
+    }
+    let free: Vec<_> = open
+        .iter()
+        .filter(|c| c.key != chosen && !c.silent)
+        .filter(|c| c.load.in_flight + c.load.queued + c.sent_since < c.load.slots)
+        .copied()
+        .collect();
+    let other = place(&mut *shared.rng.lock(), &free, pending.call.body.len())?;
+    shared
+        .may_repeat(shared.now(), &pending.call.service)
+        .then_some(other)
+}
+
 /// Decides after an attempt whether another one follows.
 fn next(
     shared: &Shared,
--- a/crates/proxy/tests/targets.rs
+++ b/crates/proxy/tests/targets.rs
@@ -335,3 +335,45 @@
     .await;
     assert!(start.elapsed() < Duration::from_millis(500));
 }
+
+/// Guards against callers who wait for a straggler or a lost answer while another target is free,
+/// and against a second run of what must not be repeated.
+#[tokio::test]
+async fn a_straggler_is_hedged_only_where_a_repeat_is_allowed() {
+    let log = log_with(1);
+    let hangs = script(|_| vec![Step::Wait(Duration::from_secs(20))]);
+    let straggler = ScriptedTarget::start(false, hangs).await.unwrap();
+    // Slower than a target of which nothing is known, so that the straggler is chosen at first.
+    let slow = script(|req| {
+        vec![
+            Step::Wait(Duration::from_millis(120)),
+            Step::Send(whole(req, &req.path)),
+        ]
+    });
+    let good = ScriptedTarget::start(false, slow).await.unwrap();
+    let mut beside_straggler = TestNode::start(&log, straggler.addr()).await;
+    let mut beside_good = TestNode::start(&log, good.addr()).await;
+    beside_straggler.serve().await;
+    beside_good.serve().await;
+    until("both nodes are known", || {
+        let handle = beside_straggler.node.as_ref().unwrap().handle();
+        handle.metrics_text().contains("member_live 2")
+    })
+    .await;
+    let mut hedged = 0;
+    for i in 0..20 {
+        let sent = runs(&straggler).len();
+        let answer = call(beside_straggler.callers, "GET", &format!("/safe/{i}"), "").await;
+        if answer.status == 200 && runs(&straggler).len() > sent {
+            hedged += 1;
+            break;
+        }
+    }
+    assert!(hedged > 0, "an answer came although the first target hung");
+    for i in 0..6 {
+        let path = format!("/once/{i}");
+        call(beside_straggler.callers, "POST", &path, "x").await;
+        let all = runs(&straggler).into_iter().chain(runs(&good));
+        assert!(all.filter(|r| r.path == path).count() <= 1, "{path}");
+    }
+}
