--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -17,6 +17,7 @@
 use wire::UnixMillis;
 
 use crate::beside;
+use crate::listen::accept_until;
 use crate::message::{
     Call, HelloAnswer, LeftLife, Link, LinkClient, ReaderWord, Reply, Status, StrikeNote,
     VersionUpdate,
@@ -41,6 +42,9 @@
 const STATUS_CALLS_PER_S: f64 = 12.0;
 /// Longest time between status calls, for large meshes.
 const MAX_STATUS_INTERVAL: Duration = Duration::from_secs(10);
+/// Time for the calls on a connection that is no longer used to be answered: the longest timeouts of
+/// routes in use. A link that is cut ends them sooner, by `USER_TIMEOUT`.
+const LINGER: Duration = Duration::from_secs(6);
 /// Waits between attempts to connect.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
@@ -93,24 +97,7 @@
 
 /// Accepts connections of other nodes until the node stops.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    let mut conns = JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((tcp, _)) => {
-                    conns.spawn(serve_one(shared.clone(), tcp));
-                }
-                Err(e) => {
-                    log::warn!(event = "link_accept_failed", error:% = e; "cannot accept a node");
-                    if !pause(&shared, MIN_BACKOFF).await {
-                        break;
-                    }
-                }
-            },
-            Some(_) = conns.join_next() => {}
-            () = shared.reached(Phase::Stopped) => break,
-        }
-    }
+    let mut conns = accept_until(&shared, listener, Phase::Stopped, serve_one).await;
     conns.shutdown().await;
 }
 
@@ -165,6 +152,7 @@
         return;
     };
     let mut backoff = MIN_BACKOFF;
+    let mut lingering = JoinSet::new();
     loop {
         if let Some(mut driver) = connect(&shared, key, link).await {
             backoff = MIN_BACKOFF;
@@ -174,8 +162,11 @@
                 _ = driver.join_next() => "the connection broke",
             };
             shared.peers.lock().disconnected(key);
-            // Ends the calls that are under way on this connection.
-            drop(driver);
+            // A node that is only slow still answers the calls that it has.
+            lingering.spawn(async move {
+                let _ = tokio::time::timeout(LINGER, driver.join_next()).await;
+            });
+            while lingering.try_join_next().is_some() {}
             log::warn!(event = "peer_lost", link:% = link, why; "the connection to a node is lost");
         }
         if !pause(&shared, backoff).await {
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -1,4 +1,4 @@
-//! The listener for callers.
+//! Listeners, and the connections of callers.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -20,30 +20,42 @@
 
 /// Accepts callers until the node refuses new requests, then lets the connections end.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    let mut conns = accept_until(&shared, listener, Phase::Refusing, serve_one).await;
+    tokio::select! {
+        () = async { while conns.join_next().await.is_some() {} } => {}
+        () = shared.reached(Phase::Stopped) => {}
+    }
+    conns.shutdown().await;
+}
+
+/// Accepts connections until the node reaches `end`, and returns the tasks that serve them.
+pub(crate) async fn accept_until<F>(
+    shared: &Arc<Shared>,
+    listener: TcpListener,
+    end: Phase,
+    serve: fn(Arc<Shared>, TcpStream) -> F,
+) -> JoinSet<()>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
     let mut conns = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((tcp, _)) => {
-                    conns.spawn(serve_one(shared.clone(), tcp));
+                    conns.spawn(serve(shared.clone(), tcp));
                 }
                 Err(e) => {
-                    log::warn!(event = "accept_failed", error:% = e; "cannot accept a caller");
-                    if !pause(&shared, ACCEPT_PAUSE).await {
-                        break;
+                    log::warn!(event = "accept_failed", error:% = e; "cannot accept a connection");
+                    if !pause(shared, ACCEPT_PAUSE).await {
+                        return conns;
                     }
                 }
             },
             Some(_) = conns.join_next() => {}
-            () = shared.reached(Phase::Refusing) => break,
+            () = shared.reached(end) => return conns,
         }
     }
-    drop(listener);
-    tokio::select! {
-        () = async { while conns.join_next().await.is_some() {} } => {}
-        () = shared.reached(Phase::Stopped) => {}
-    }
-    conns.shutdown().await;
 }
 
 async fn serve_one(shared: Arc<Shared>, tcp: TcpStream) {
