Send the difference with a reader's word; answer what is left at the end of a stop

Change: the word of a reader carries the difference from its last word; at 0.87 of the grace period what is in progress is answered 504 with executed unknown. The test what_is_in_progress_at_the_end_of_a_stop_is_answered fails without the second change (the connection is closed) and passes with it.

--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -13,7 +13,7 @@
 use crate::link::context;
 use crate::message::{Answer, Call, Failure, Outcome, Reply, Times};
 use crate::peers::PeerKey;
-use crate::shared::Shared;
+use crate::shared::{Phase, Shared};
 
 /// Nodes that may refuse a request before the caller is refused. A third one rarely has room when
 /// the two that seemed best have none, and asking takes time that a refusal should not.
@@ -84,11 +84,14 @@
 pub(crate) async fn run(shared: &Arc<Shared>, pending: &Pending) -> Final {
     let mut progress = Progress::default();
     let left = pending.limit.since(shared.now());
-    let done = tokio::time::timeout(left, tries(shared, pending, &mut progress)).await;
+    let done = tokio::select! {
+        done = tokio::time::timeout(left, tries(shared, pending, &mut progress)) => done.ok(),
+        () = shared.reached(Phase::Ending) => None,
+    };
     match done {
-        Ok(done) => done,
+        Some(done) => done,
         // The last attempt may have reached a target.
-        Err(_) => Final::Refused {
+        None => Final::Refused {
             refusal: Code::TargetTimeout.into(),
             maybe_ran: true,
             sends: progress.sends,
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -24,6 +24,7 @@
 };
 use crate::peers::PeerKey;
 use crate::shared::{Phase, Shared, pause};
+use crate::source;
 
 /// Largest frame: the largest body that a text may allow, and the heads around it.
 const MAX_FRAME_BYTES: usize = 72 << 20;
@@ -87,6 +88,9 @@
             self.0.heard.lock().working_reader(self.0.now());
         }
         self.0.peers.lock().heard_version(word.link, word.version);
+        if let Some(delta) = word.delta {
+            source::take_delta(&self.0, word.version, delta);
+        }
         note_version(&self.0, word.version);
     }
 
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -216,13 +216,15 @@
 }
 
 /// The word of a node that reads versions in the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ReaderWord {
     pub(crate) link: SocketAddr,
     /// The version that it has in force.
     pub(crate) version: u64,
     /// Whether its reads succeed.
     pub(crate) working: bool,
+    /// The difference from the version of its last word, if that was another one.
+    pub(crate) delta: Option<Delta>,
 }
 
 /// What brings a node to a newer version.
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -22,6 +22,9 @@
 /// take longer than the rest of the period are cut.
 const CLOSE_AT: f64 = 0.4;
 const REFUSE_AT: f64 = 0.5;
+/// Part of the period after which what is still in progress is answered as unknown, so that no
+/// caller is left without an answer.
+const END_AT: f64 = 0.87;
 const STOP_AT: f64 = 0.92;
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Time for tasks to end after the node has stopped.
@@ -93,9 +96,14 @@
         self.enter(Phase::Closing);
         tokio::time::sleep_until(start + grace.mul_f64(REFUSE_AT)).await;
         self.enter(Phase::Refusing);
-        let drained = tokio::time::timeout_at(start + grace.mul_f64(STOP_AT), self.drained());
+        let drained = tokio::time::timeout_at(start + grace.mul_f64(END_AT), self.drained());
         if drained.await.is_err() {
             log::warn!(event = "cut"; "the grace period ends before the requests in progress");
+            self.enter(Phase::Ending);
+            let answered = tokio::time::timeout_at(start + grace.mul_f64(STOP_AT), self.drained());
+            if answered.await.is_err() {
+                log::warn!(event = "unanswered"; "requests in progress could not be answered");
+            }
         }
         self.enter(Phase::Stopped);
         self.shared.tasks.close();
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -47,6 +47,8 @@
     Closing,
     /// It refuses new requests.
     Refusing,
+    /// It answers what is still in progress, since its time is nearly up.
+    Ending,
     /// Its tasks end.
     Stopped,
 }
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -10,13 +10,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use config::Delta;
 use ops::Metric;
 use plat::{LogError, decode_keyed, encode_keyed};
 use rand::Rng;
 use wire::Offset;
 
 use crate::link::context;
-use crate::message::ReaderWord;
+use crate::message::{ReaderWord, VersionUpdate};
 use crate::peers::PeerKey;
 use crate::readers::READER_INTERVAL;
 use crate::shared::{Phase, Shared, pause};
@@ -38,7 +39,7 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for the update of another node; a whole text is a tenth of a second of the slowest links,
 /// and asking again too soon makes a full link fuller.
-const UPDATE_TIMEOUT: Duration = Duration::from_millis(1_500);
+const UPDATE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Nodes asked for one update; more would only repeat that there is none.
 const MAX_ASKED: usize = 4;
 
@@ -143,6 +144,7 @@
 /// Tells other nodes, while this node reads, of its version and that its reads succeed.
 pub(crate) async fn speak_as_reader(shared: Arc<Shared>) {
     let mut changes = shared.versions.changes();
+    let mut spoken = 0;
     loop {
         tokio::select! {
             goes_on = pause(&shared, READER_INTERVAL) => if !goes_on { return },
@@ -153,12 +155,19 @@
         if !working || shared.versions.number() == 0 {
             continue;
         }
+        let delta = match shared.versions.update_from(spoken) {
+            Some(VersionUpdate::Delta(delta)) => Some(delta),
+            Some(VersionUpdate::Whole(_)) | None => None,
+        };
+        spoken = shared.versions.number();
         let word = ReaderWord {
             link: shared.settings.link,
-            version: shared.versions.number(),
+            version: spoken,
             working,
+            delta,
         };
         for client in shared.peers.lock().audience(&shared.settings.domain) {
+            let word = word.clone();
             shared.tasks.spawn(async move {
                 // The next word makes up for a lost one.
                 let _ = client.reader_word(context(PEER_TIMEOUT), word).await;
@@ -167,6 +176,20 @@
     }
 }
 
+/// Takes the difference that came with a reader's word. Where it does not fit, the version is asked
+/// for.
+pub(crate) fn take_delta(shared: &Shared, version: u64, delta: Delta) {
+    if version <= shared.versions.number() {
+        return;
+    }
+    match shared.versions.adopt_update(VersionUpdate::Delta(delta)) {
+        Err(VersionError::OtherBase) => {}
+        adopted => {
+            note_adopted(shared, adopted, "reader");
+        }
+    }
+}
+
 /// A read of the log.
 struct Step {
     /// Where to read on.
--- a/crates/proxy/tests/callers.rs
+++ b/crates/proxy/tests/callers.rs
@@ -203,3 +203,24 @@
     assert_eq!(runs(&far).len(), before);
     stopping.await.unwrap();
 }
+
+/// Guards against callers left without an answer when a stopping node's time is up.
+#[tokio::test]
+async fn what_is_in_progress_at_the_end_of_a_stop_is_answered() {
+    let (node, _target) = one(script(|_| vec![Step::Wait(Duration::from_secs(20))])).await;
+    let mut caller = Caller::connect(node.callers).await;
+    let stopping = tokio::spawn(node.stop());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    caller.send("POST", "/once/1", "r", "x").await;
+    let answer = caller
+        .answer()
+        .await
+        .expect("an answer, not a closed connection");
+    assert_eq!(answer.status, 504);
+    assert!(
+        answer.body.contains("\"executed\":\"unknown\""),
+        "{}",
+        answer.body
+    );
+    stopping.await.unwrap();
+}
