--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -12,10 +12,13 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// An append that takes longer counts as unanswered.
 pub const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
-/// Idle time before the first keep-alive probe and between probes. Two lost probes after one
-/// interval show a dead connection within 1.5 s, inside the 2 s in which a version must be applied.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-const PROBES: u32 = 2;
+/// Idle time before the first keep-alive probe and between probes; the kernel takes whole seconds.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Lost probes after which a connection is dead.
+const PROBES: u32 = 1;
+/// Time after which bytes or probes that nobody acknowledges end a connection. With the first probe
+/// a dead one is found within 2 to 2.5 s.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Added to the wait of a long poll.
 pub const READ_MARGIN: Duration = Duration::from_secs(2);
 
@@ -132,6 +135,7 @@
         .tcp_keepalive(PROBE_INTERVAL)
         .tcp_keepalive_interval(PROBE_INTERVAL)
         .tcp_keepalive_retries(PROBES)
+        .tcp_user_timeout(USER_TIMEOUT)
         .no_proxy()
         .build()
         .context(ClientSnafu)
