Find a silent failure domain as a whole

Ruled out: requests that waited at a target when their time was up (the log has their code as 202). Change: a status call that any node of a domain owes counts for the domain until any of its nodes answers; its nodes are then placed last and, later, not used, by the bounds that held for one node. A reply to a call also ends the doubt about a node.

--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use admit::QueueState;
-use route::{Candidate, WayTime};
+use route::{Candidate, Silence, WayTime};
 use slotmap::{SlotMap, new_key_type};
 use tokio::sync::Notify;
 use wire::{Domain, ServiceName, Time};
@@ -15,7 +15,8 @@
 use crate::message::{LeftLife, LinkClient, Status};
 use crate::readers;
 
-/// A node that has owed an answer to a status call for longer is placed last. Round trips take a
+/// A node that has owed an answer to a status call for longer, or whose whole failure domain has, is
+/// placed last. Round trips take a
 /// few milliseconds; a busy node on a fifth of a core may take some tens more.
 const SILENT_AFTER: Duration = Duration::from_millis(250);
 /// A node that has owed an answer for longer gets no requests: most of them would be lost, and a
@@ -35,6 +36,8 @@
 pub(crate) struct Peers {
     by_key: SlotMap<PeerKey, Peer>,
     by_link: HashMap<SocketAddr, PeerKey>,
+    /// Whether the nodes of a failure domain answer.
+    domains: HashMap<Domain, Silence>,
 }
 
 #[derive(Debug)]
@@ -47,8 +50,8 @@
     told_at: Time,
     sent_since: u32,
     way: WayTime,
-    /// When a status call was sent that has not been answered.
-    asked: Option<Time>,
+    /// Whether its node answers status calls.
+    silence: Silence,
     /// Wakes the task that asks for the status.
     doubt: Arc<Notify>,
     left: Vec<LeftLife>,
@@ -67,7 +70,7 @@
             told_at: Time::ZERO,
             sent_since: 0,
             way: WayTime::default(),
-            asked: None,
+            silence: Silence::default(),
             doubt: Arc::default(),
             left: Vec::new(),
         });
@@ -84,31 +87,48 @@
     ) {
         if let Some(peer) = self.by_key.get_mut(key) {
             peer.client = Some(client);
-            peer.asked = None;
             peer.take_status(now, status);
         }
+        self.heard_from(key);
     }
 
     pub(crate) fn disconnected(&mut self, key: PeerKey) {
         if let Some(peer) = self.by_key.get_mut(key) {
             peer.client = None;
             peer.status = None;
-            peer.asked = None;
+            peer.silence.answered();
         }
     }
 
     pub(crate) fn asked(&mut self, now: Time, key: PeerKey) {
-        if let Some(peer) = self.by_key.get_mut(key) {
-            peer.asked = Some(now);
+        let Some(peer) = self.by_key.get_mut(key) else {
+            return;
+        };
+        peer.silence.asked(now);
+        if let Some(status) = &peer.status {
+            let domain = self.domains.entry(status.domain.clone()).or_default();
+            domain.asked(now);
+        }
+    }
+
+    /// Notes that the way to a node and back works.
+    fn heard_from(&mut self, key: PeerKey) {
+        let Some(peer) = self.by_key.get_mut(key) else {
+            return;
+        };
+        peer.silence.answered();
+        let domain = peer.status.as_ref().map(|s| &s.domain);
+        if let Some(domain) = domain.and_then(|d| self.domains.get_mut(d)) {
+            domain.answered();
         }
     }
 
     /// Takes the answer to a status call.
     pub(crate) fn answered(&mut self, now: Time, key: PeerKey, status: Status) {
         if let Some(peer) = self.by_key.get_mut(key) {
-            peer.asked = None;
             peer.take_status(now, status);
         }
+        self.heard_from(key);
     }
 
     /// Takes a status that a node sent by itself. One of another life of the node, or an older
@@ -142,6 +162,7 @@
             peer.told_at = now;
             peer.sent_since = 0;
         }
+        self.heard_from(key);
     }
 
     /// Asks for a status call now if nothing has come from the node for `quiet`.
@@ -183,12 +204,19 @@
         domain: &Domain,
         body_bytes: usize,
     ) -> Vec<Candidate<PeerKey>> {
-        let owes = |p: &Peer| p.asked.map_or(Duration::ZERO, |at| now.since(at));
         self.by_key
             .iter()
-            .filter(|(_, p)| p.client.is_some() && owes(p) <= UNUSED_AFTER)
+            .filter(|(_, p)| p.client.is_some())
             .filter_map(|(key, p)| {
                 let status = p.status.as_ref().filter(|s| s.service == *service)?;
+                let domain_owes = self.domains.get(&status.domain).copied();
+                let owes = p
+                    .silence
+                    .owed_for(now)
+                    .max(domain_owes.unwrap_or_default().owed_for(now));
+                if owes > UNUSED_AFTER {
+                    return None;
+                }
                 let queue = QueueState::from(status.queue);
                 Some(Candidate {
                     key,
@@ -199,7 +227,7 @@
                     service: queue.service,
                     failing: f64::from(queue.failing),
                     on_the_way: p.way.expected(body_bytes),
-                    silent: owes(p) > SILENT_AFTER,
+                    silent: owes > SILENT_AFTER,
                 })
             })
             .collect()
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,6 +14,7 @@
 mod quantiles;
 mod quarantine;
 mod retry;
+mod silence;
 mod spill;
 mod split;
 mod subset;
@@ -28,5 +29,6 @@
 pub use quantiles::Quantiles;
 pub use quarantine::{Quarantine, QuarantineCfg, Strike};
 pub use retry::{Attempts, Denial, Failure, MAX_ATTEMPTS, RetryBudget, costs_token};
+pub use silence::Silence;
 pub use split::Splitter;
 pub use view::{Ask, Kind, Outcome, Pick, RouteKey, State, Ticket, View};
