Ask elsewhere while instances have room, and before a body is sent

Cause: at 78 nodes reports are seconds old, and requests waited at full targets (p90 up to 100 ms) or were refused after two of them while others had free slots. Bodies that were refused had crossed a link for nothing: on the way p90 was 0.2 to 0.5 s at load, 2 s for one in a hundred. Change: a request waits at an instance no longer than asking another one takes while one is likely to have room, and up to four nodes may refuse it then; without room two, as before. A body of more than 16 KB is announced first; the node beside the target judges it by the queue when it has arrived, the bodies on the way, and its link, and counts it as waiting.

--- a/crates/admit/src/target_queue.rs
+++ b/crates/admit/src/target_queue.rs
@@ -54,6 +54,8 @@
     pub deadline: Time,
     /// Whether no other target will be asked, so that a late answer is better than none.
     pub last_resort: bool,
+    /// Longest wait for a slot; after a longer one another target will have answered sooner.
+    pub max_wait: Duration,
 }
 
 /// What happens to a request that asks for a slot.
@@ -179,32 +181,59 @@
 
     /// Asks for a slot.
     pub fn offer(&mut self, now: Time, job: Job) -> Admit {
+        self.arrivals += 1;
+        match self.judge(now, &job, 0) {
+            Err(refusal) => Admit::Refuse(refusal),
+            Ok(None) => Admit::Run(self.start(now, job)),
+            Ok(Some(rank)) => {
+                let key = self.jobs.insert(Place::Waiting(rank, job));
+                self.waiting.insert(rank, key);
+                Admit::Wait(key)
+            }
+        }
+    }
+
+    /// Returns what a request that asked for a slot now would be refused with, behind `coming`
+    /// others that have not asked yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the refusal that [`TargetQueue::offer`] would give.
+    pub fn would_take(&self, now: Time, job: &Job, coming: usize) -> Result<(), Refusal> {
+        self.judge(now, job, coming).map(|_| ())
+    }
+
+    /// Returns the place of a request that has to wait, or `None` if it may start.
+    fn judge(&self, now: Time, job: &Job, coming: usize) -> Result<Option<Rank>, Refusal> {
         if !self.open {
-            return Admit::Refuse(Code::Draining.into());
+            return Err(Code::Draining.into());
         }
-        self.arrivals += 1;
-        let mut rank = self.rank(now, &job);
-        let mut ahead = self.waiting.range(..rank).count();
-        if self.running < self.slots && ahead == 0 {
-            if !self.can_start(now, &job) {
-                return Admit::Refuse(Code::CannotStartInTime.into());
+        let mut rank = self.rank(now, job);
+        let taken = self.running as usize + coming;
+        // Others that come fill the free slots first and then wait.
+        let before = taken.saturating_sub(self.slots as usize);
+        let mut ahead = self.waiting.range(..rank).count() + before;
+        if taken < self.slots as usize && ahead == 0 {
+            if !self.can_start(now, job) {
+                return Err(Code::CannotStartInTime.into());
             }
-            return Admit::Run(self.start(now, job));
+            return Ok(None);
         }
         if self.waiting.len() >= self.slots as usize * MAX_WAITING_PER_SLOT {
-            return Admit::Refuse(self.refusal(Code::QueueFull));
+            return Err(self.refusal(Code::QueueFull));
+        }
+        if self.wait_behind(ahead) > job.max_wait {
+            return Err(self.refusal(Code::CannotStartInTime));
         }
-        let misses = !self.is_worth_waiting(now, &job, rank, ahead);
+        let misses = !self.is_worth_waiting(now, job, rank, ahead);
         if rank.standing == Standing::OnTime && misses && job.last_resort {
             rank.standing = Standing::Late;
-            ahead = self.waiting.range(..rank).count();
+            ahead = self.waiting.range(..rank).count() + before;
         }
-        if !self.is_worth_waiting(now, &job, rank, ahead) {
-            return Admit::Refuse(self.refusal(Code::CannotStartInTime));
+        if !self.is_worth_waiting(now, job, rank, ahead) {
+            return Err(self.refusal(Code::CannotStartInTime));
         }
-        let key = self.jobs.insert(Place::Waiting(rank, job));
-        self.waiting.insert(rank, key);
-        Admit::Wait(key)
+        Ok(Some(rank))
     }
 
     /// Ends a request that holds a slot or waits.
--- a/crates/admit/tests/target_queue.rs
+++ b/crates/admit/tests/target_queue.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use admit::{Admit, Ended, Job, JobKey, Settled, TargetQueue};
+use admit::{Admit, Ended, Job, JobKey, Settled, TargetQueue, arrival_time, may_send_body};
 use proptest::prelude::*;
 use wire::{Code, Time};
 
@@ -24,6 +24,7 @@
         due: at(due),
         deadline: at(deadline),
         last_resort: false,
+        max_wait: Duration::MAX,
     }
 }
 
@@ -164,6 +165,7 @@
                     due: now + ms(200),
                     deadline: now + ms(1_000),
                     last_resort: what == 1,
+                    max_wait: if which % 3 == 0 { ms(20) } else { Duration::MAX },
                 }) {
                     Admit::Run(key) => held.push(key),
                     Admit::Wait(key) => waiting.push(key),
@@ -267,3 +269,61 @@
     };
     assert!(matches!(q.offer(now, last), Admit::Wait(_)));
 }
+
+/// Guards against requests that wait at a full target while another one has free slots.
+#[test]
+fn a_request_waits_no_longer_than_asking_elsewhere_takes() {
+    let now = at(100_000);
+    let mut q = measured(1);
+    run(&mut q, now, job(1, 200_000, 200_000));
+    let hurried = Job {
+        max_wait: ms(50),
+        ..job(1, 200_000, 200_000)
+    };
+    let refused = q.offer(now, hurried);
+    assert!(
+        matches!(refused, Admit::Refuse(r) if r.code == Code::CannotStartInTime),
+        "{refused:?}"
+    );
+    wait(&mut q, now, job(1, 200_000, 200_000));
+}
+
+/// Guards against bodies that cross a link and are refused then.
+#[test]
+fn a_body_is_sent_only_where_its_request_will_be_taken() {
+    let now = at(100_000);
+    let free = measured(4);
+    let mut full = measured(1);
+    run(&mut full, now, job(1, 200_000, 200_000));
+    let last = |due| Job {
+        last_resort: true,
+        ..job(1, due, 101_000)
+    };
+    let hurried = Job {
+        max_wait: ms(50),
+        ..job(1, 100_500, 101_000)
+    };
+    // Queue, request, time until the body has crossed, requests that come before, whether it may go.
+    let cases = [
+        ("room", &free, job(1, 100_500, 101_000), 100, 0, true),
+        ("late there", &free, job(1, 100_500, 101_000), 600, 0, false),
+        ("late anywhere", &free, last(100_500), 600, 0, true),
+        ("too late", &free, last(100_500), 1_000, 0, false),
+        ("others come first", &free, hurried, 100, 8, false),
+        ("one slot is left", &free, hurried, 100, 3, true),
+        ("full", &full, hurried, 100, 0, false),
+    ];
+    for (name, q, job, arrival, coming, may) in cases {
+        let result = may_send_body(q, now, &job, ms(arrival), coming);
+        assert_eq!(result.is_ok(), may, "{name}: {result:?}");
+    }
+}
+
+/// Guards against estimates that leave out what is already on the way.
+#[test]
+fn bodies_on_the_way_delay_the_next_one() {
+    let alone = arrival_time(0, 70_000, 7);
+    assert!(alone > ms(80) && alone < ms(120), "{alone:?}");
+    assert_eq!(arrival_time(70_000, 70_000, 7), alone * 2);
+    assert!(arrival_time(0, 70_000, 1_000) < ms(1));
+}
--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ops::Metric;
-use route::{Candidate, place, time_to_room};
+use route::{Candidate, has_room, place, room_elsewhere, time_to_room, usual_load};
 use wire::{Code, Refusal, Time};
 
 use crate::beside;
@@ -19,11 +19,18 @@
 /// Nodes that may refuse a request before the caller is refused. A third one rarely has room when
 /// the two that seemed best have none, and asking takes time that a refusal should not.
 const MAX_BOUNCES: u32 = 2;
+/// The same while an instance is likely to have a free slot. Each further one finds it with the same
+/// chance; four leave one request in sixteen where half of the instances are full.
+const MAX_BOUNCES_WITH_ROOM: u32 = 4;
 
 /// Time without a reply after which a node that has sent nothing else is asked whether it lives.
 /// Most requests are answered by then.
 const DOUBT_AFTER: Duration = Duration::from_millis(400);
 
+/// Time for the answer to a node that wants to send a body. It does no work, so one that takes
+/// longer is overloaded or cut off.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Part of the objective after which a second attempt is made. What is left is enough for most
 /// requests, and few take so long where nothing is wrong.
 const HEDGE_SHARE: f64 = 0.7;
@@ -117,8 +124,16 @@
             let refusal = progress.refusal.unwrap_or(Code::NoInstance.into());
             return progress.refused(refusal, Some(room));
         };
-        let last = open.len() == 1 || progress.bounces + 1 >= MAX_BOUNCES;
-        let tried = hedged(shared, pending, progress, &open, chosen, last).await;
+        let most = max_bounces(&open);
+        if let Some(refusal) = progress.refusal.filter(|_| progress.bounces >= most) {
+            return progress.refused(refusal, Some(room));
+        }
+        let last = open.len() == 1 || progress.bounces + 1 >= most;
+        let standing = Standing {
+            last_resort: last,
+            max_wait: room_elsewhere(&open, &chosen).filter(|_| !last),
+        };
+        let tried = hedged(shared, pending, progress, &open, chosen, standing).await;
         progress.times = tried.times;
         if let Some(done) = next(shared, pending, progress, tried.place, tried.outcome, room) {
             return done;
@@ -126,6 +141,25 @@
     }
 }
 
+/// How a request asks for a slot.
+#[derive(Clone, Copy, Debug)]
+struct Standing {
+    /// Whether no other instance will be asked.
+    last_resort: bool,
+    /// Longest wait for a slot.
+    max_wait: Option<Duration>,
+}
+
+/// Returns after how many refusals of nodes the caller is refused.
+fn max_bounces(open: &[Candidate<Place>]) -> u32 {
+    let usual = usual_load(open);
+    if open.iter().any(|c| has_room(c, usual)) {
+        MAX_BOUNCES_WITH_ROOM
+    } else {
+        MAX_BOUNCES
+    }
+}
+
 /// An attempt that has ended.
 struct Tried {
     place: Place,
@@ -156,10 +190,10 @@
     progress: &mut Progress,
     open: &[Candidate<Place>],
     chosen: Place,
-    last: bool,
+    standing: Standing,
 ) -> Tried {
     let now = shared.now();
-    let first = attempt(shared, pending, chosen, now, last);
+    let first = attempt(shared, pending, chosen, now, standing);
     tokio::pin!(first);
     let patience = pending.due.since(pending.arrived).mul_f64(HEDGE_SHARE);
     let wait = (pending.arrived + patience).since(now).max(MIN_HEDGE_DELAY);
@@ -178,7 +212,11 @@
     // The second attempt is one more target; the caller of this function counts only one.
     progress.sends += 1;
     shared.metrics.count(Metric::Hedges);
-    let second = attempt(shared, pending, other, shared.now(), true);
+    let alone = Standing {
+        last_resort: true,
+        max_wait: None,
+    };
+    let second = attempt(shared, pending, other, shared.now(), alone);
     tokio::pin!(second);
     let (tried, rest) = tokio::select! {
         (outcome, times) = &mut first => (Tried::new(chosen, outcome, times), other),
@@ -249,9 +287,6 @@
             progress.avoid.push(place);
             progress.bounces += 1;
             progress.refusal = Some(refusal);
-            if progress.bounces >= MAX_BOUNCES {
-                return Some(progress.refused(refusal, Some(room)));
-            }
             None
         }
         Outcome::Shed => {
@@ -360,10 +395,11 @@
     pending: &Pending,
     place: Place,
     now: Time,
-    last_resort: bool,
+    standing: Standing,
 ) -> (Outcome, Times) {
     let mut call = pending.call.clone();
-    call.last_resort = last_resort;
+    call.last_resort = standing.last_resort;
+    call.max_wait_ms = standing.max_wait.map(|d| d.as_millis() as u32);
     call.left_ms = millis(pending.limit.since(now));
     call.due_ms = millis(pending.due.since(now));
     match place {
@@ -392,7 +428,7 @@
     };
     let sent = shared.now();
     let body_bytes = call.body.len();
-    if let Err(refusal) = send_ahead(shared, pending, &client, &mut call).await {
+    if let Err(refusal) = send_ahead(shared, pending, key, &client, &mut call).await {
         return (Outcome::Refused(refusal.into()), Times::default());
     }
     let left = pending.limit.since(shared.now());
@@ -429,6 +465,7 @@
 async fn send_ahead(
     shared: &Shared,
     pending: &Pending,
+    key: PeerKey,
     client: &LinkClient,
     call: &mut Call,
 ) -> Result<(), Refusal> {
@@ -436,9 +473,14 @@
         return Ok(());
     }
     let body = std::mem::take(&mut call.body);
-    let transfer = shared.next_transfer();
-    let left = pending.limit.since(shared.now());
-    let sent = transfer::send(client, context(left), transfer, &body).await;
+    let ahead = SentAhead {
+        transfer: shared.next_transfer(),
+        len: body.len(),
+    };
+    call.ahead = Some(ahead);
+    announce(shared, key, client, call).await?;
+    let cx = context(pending.limit.since(shared.now()));
+    let sent = transfer::send(client, cx, ahead.transfer, &body).await;
     sent.map_err(|e| match e {
         transfer::SendError::Refused => Refusal::from(Code::QueueFull),
         transfer::SendError::Lost(e) => {
@@ -446,16 +488,34 @@
             Refusal::from(Code::NoInstance)
         }
     })?;
-    call.ahead = Some(SentAhead {
-        transfer,
-        len: body.len(),
-    });
     let now = shared.now();
     call.left_ms = millis(pending.limit.since(now));
     call.due_ms = millis(pending.due.since(now));
     Ok(())
 }
 
+/// Asks whether a body may be sent ahead of its call.
+async fn announce(
+    shared: &Shared,
+    key: PeerKey,
+    client: &LinkClient,
+    call: &Call,
+) -> Result<(), Refusal> {
+    let asked = client.announce_body(context(ANNOUNCE_TIMEOUT), call.clone());
+    match tokio::time::timeout(ANNOUNCE_TIMEOUT, asked).await {
+        Ok(Ok(answer)) => {
+            let mut peers = shared.peers.lock();
+            peers.queue(shared.now(), key, answer.queue.into());
+            answer.refusal.map_or(Ok(()), |r| Err(r.into()))
+        }
+        Ok(Err(_)) | Err(_) => {
+            shared.peers.lock().doubt(shared.now(), key, DOUBT_AFTER);
+            log::info!(event = "body_not_announced", id = call.request_id.as_str(); "the node beside the target does not answer, and the request was not sent");
+            Err(Code::NoInstance.into())
+        }
+    }
+}
+
 /// Writes the loads that decided a placement: requests in slots, waiting, sent since, slots, service
 /// time, failures in percent.
 fn loads(candidates: &[Candidate<Place>]) -> String {
--- a/crates/proxy/src/beside.rs
+++ b/crates/proxy/src/beside.rs
@@ -77,16 +77,7 @@
 async fn admitted(shared: &Arc<Shared>, call: &Arc<Call>) -> Result<Slot, Refusal> {
     let now = shared.now();
     check(shared, call, now)?;
-    let deadline = now + Duration::from_millis(call.left_ms);
-    let due = now + Duration::from_millis(call.due_ms);
-    let job = Job {
-        route: call.route,
-        priority: call.priority,
-        arrived: now,
-        due,
-        deadline,
-        last_resort: call.last_resort,
-    };
+    let job = job(call, now);
     let (key, started, needed) = {
         let mut target = shared.target.lock();
         let needed = target.queue.needed(call.route);
@@ -105,11 +96,11 @@
         shared: shared.clone(),
         key,
         call: call.clone(),
-        deadline,
+        deadline: job.deadline,
         ended: Ended::Dropped,
     };
     if let Some(started) = started {
-        let latest = deadline.since(now).saturating_sub(needed);
+        let latest = job.deadline.since(now).saturating_sub(needed);
         match tokio::time::timeout(latest, started).await {
             Ok(Ok(result)) => result?,
             Ok(Err(_)) | Err(_) => return Err(Code::CannotStartInTime.into()),
@@ -122,6 +113,34 @@
     Ok(slot)
 }
 
+fn job(call: &Call, now: Time) -> Job {
+    let max_wait = call.max_wait_ms.map(|ms| Duration::from_millis(ms.into()));
+    Job {
+        route: call.route,
+        priority: call.priority,
+        arrived: now,
+        due: now + Duration::from_millis(call.due_ms),
+        deadline: now + Duration::from_millis(call.left_ms),
+        last_resort: call.last_resort,
+        max_wait: max_wait.unwrap_or(Duration::MAX),
+    }
+}
+
+/// Decides whether a call's body of `len` bytes may be sent ahead of it.
+pub(crate) fn may_send_body(
+    shared: &Shared,
+    call: &Call,
+    len: usize,
+    now: Time,
+) -> Result<(), Refusal> {
+    check(shared, call, now)?;
+    let expected = &shared.expected;
+    let arrival = admit::arrival_time(expected.bytes(), len, shared.settings.link_mbps);
+    let job = job(call, now);
+    let target = shared.target.lock();
+    admit::may_send_body(&target.queue, now, &job, arrival, expected.bodies())
+}
+
 fn check(shared: &Shared, call: &Call, now: Time) -> Result<(), Refusal> {
     if shared.phase() >= Phase::Refusing {
         return Err(Code::Draining.into());
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -145,6 +145,7 @@
         left_ms: 0,
         repeatable: beside::is_repeatable(rule.repeat),
         last_resort: false,
+        max_wait_ms: None,
         request_id: id.to_owned(),
         method: parts.method.as_str().to_owned(),
         path: path.to_owned(),
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -14,13 +14,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
-use wire::{Code, UnixMillis};
+use wire::{Code, Refusal, UnixMillis};
 
 use crate::beside;
 use crate::listen::accept_until;
 use crate::message::{
-    Call, HelloAnswer, LeftLife, Link, LinkClient, ReaderWord, Reply, Status, StrikeNote,
-    VersionUpdate,
+    BodyAnswer, Call, HelloAnswer, LeftLife, Link, LinkClient, ReaderWord, Reply, Status,
+    StrikeNote, VersionUpdate,
 };
 use crate::peers::PeerKey;
 use crate::shared::{Phase, Shared, pause};
@@ -79,13 +79,31 @@
         self.shared.status(self.shared.now())
     }
 
+    async fn announce_body(self, _: Context, call: Call) -> BodyAnswer {
+        let now = self.shared.now();
+        let refusal = match call.ahead {
+            Some(ahead) => match beside::may_send_body(&self.shared, &call, ahead.len, now) {
+                Ok(()) => {
+                    self.inbox.announce(now, ahead);
+                    None
+                }
+                Err(refusal) => Some(refusal.into()),
+            },
+            None => Some(Refusal::from(Code::BadHeader).into()),
+        };
+        BodyAnswer {
+            queue: self.shared.queue_for_peers(now).into(),
+            refusal,
+        }
+    }
+
     async fn body_part(self, _: Context, part: Part) -> bool {
         self.inbox.take(self.shared.now(), part)
     }
 
     async fn call(self, _: Context, mut call: Call) -> Reply {
         if let Some(ahead) = call.ahead {
-            match self.inbox.whole(ahead.transfer, ahead.len) {
+            match self.inbox.whole(ahead) {
                 Some(body) => call.body = body,
                 None => return beside::refuse(&self.shared, &call, Code::QueueFull.into()),
             }
@@ -132,7 +150,11 @@
     };
     let channel = BaseChannel::new(config, transport);
     let mut calls = JoinSet::new();
-    let inbox = Inbox::new(shared.body_bytes.clone(), shared.body_memory());
+    let inbox = Inbox::new(
+        shared.expected.clone(),
+        shared.body_bytes.clone(),
+        shared.body_memory(),
+    );
     let served = Served {
         shared,
         inbox: Arc::new(inbox),
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -19,7 +19,9 @@
     async fn hello(from: Status) -> HelloAnswer;
     /// Tells the caller's state and returns the own one; shows that the connection lives.
     async fn status(from: Status) -> Status;
-    /// Takes a part of a body ahead of its call. `false` means that there is no memory for it.
+    /// Asks whether the body of a call may be sent ahead of it.
+    async fn announce_body(call: Call) -> BodyAnswer;
+    /// Takes a part of a body that was announced. `false` means that there is no memory for it.
     async fn body_part(part: Part) -> bool;
     /// Runs a request at the target beside this node.
     async fn call(call: Call) -> Reply;
@@ -113,6 +115,8 @@
     pub(crate) repeatable: bool,
     /// Whether no other target will be asked if this one refuses.
     pub(crate) last_resort: bool,
+    /// Longest wait for a slot in milliseconds, none if no other instance is likely to be free.
+    pub(crate) max_wait_ms: Option<u32>,
     pub(crate) request_id: String,
     pub(crate) method: String,
     pub(crate) path: String,
@@ -131,6 +135,14 @@
     pub(crate) len: usize,
 }
 
+/// The answer to a node that wants to send a body.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct BodyAnswer {
+    pub(crate) queue: WireQueue,
+    /// Why it should not be sent.
+    pub(crate) refusal: Option<WireRefusal>,
+}
+
 /// The reply to a call.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Reply {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -23,6 +23,7 @@
 use crate::peers::{PeerKey, Peers};
 use crate::readers::{self, Heard};
 use crate::settings::{Settings, TargetSettings};
+use crate::transfer::Expected;
 use crate::upstream::Upstream;
 use crate::versions::Versions;
 
@@ -102,6 +103,8 @@
     sequence: AtomicU64,
     /// Memory of bodies that are being read or sent ahead.
     pub(crate) body_bytes: Arc<AtomicUsize>,
+    /// Bodies on their way to this node.
+    pub(crate) expected: Arc<Expected>,
     transfers: AtomicU64,
     pub(crate) in_progress: AtomicUsize,
 }
@@ -161,6 +164,7 @@
             tasks: TaskTracker::new(),
             sequence: AtomicU64::new(0),
             body_bytes: Arc::default(),
+            expected: Arc::default(),
             transfers: AtomicU64::new(0),
             in_progress: AtomicUsize::new(0),
             settings,
@@ -211,6 +215,8 @@
         if self.phase() != Phase::Serving {
             state.load.slots = 0;
         }
+        let coming = u32::try_from(self.expected.bodies()).unwrap_or(u32::MAX);
+        state.load.queued = state.load.queued.saturating_add(coming);
         state
     }
 
--- a/crates/proxy/src/transfer.rs
+++ b/crates/proxy/src/transfer.rs
@@ -16,7 +16,7 @@
 use tarpc::context::Context;
 use wire::Time;
 
-use crate::message::LinkClient;
+use crate::message::{LinkClient, SentAhead};
 
 /// Size of a part: 10 ms of a link of 7 Mbit/s, the slowest in use.
 const PART_BYTES: usize = 8 << 10;
@@ -77,10 +77,30 @@
     parts.buffered(PARTS_UNDER_WAY).try_collect().await
 }
 
+/// Bodies that arrive at a node, over all connections.
+#[derive(Debug, Default)]
+pub(crate) struct Expected {
+    bytes: AtomicUsize,
+    bodies: AtomicUsize,
+}
+
+impl Expected {
+    /// Returns the bytes that have been announced and have not come.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of bodies that have been announced and whose requests have not started.
+    pub(crate) fn bodies(&self) -> usize {
+        self.bodies.load(Ordering::Relaxed)
+    }
+}
+
 /// Bodies that arrive on one connection. Their memory counts with that of all other bodies.
 #[derive(Debug)]
 pub(crate) struct Inbox {
     arriving: Mutex<HashMap<u64, Arriving>>,
+    expected: Arc<Expected>,
     held: Arc<AtomicUsize>,
     most: usize,
 }
@@ -89,58 +109,90 @@
 struct Arriving {
     parts: HashMap<u32, Bytes>,
     last: Time,
-    held: Held,
+    counted: Counted,
 }
 
-/// Memory that is counted until it is dropped.
+/// A body in the counts of its node, until it is dropped.
 #[derive(Debug)]
-struct Held {
-    all: Arc<AtomicUsize>,
-    bytes: usize,
+struct Counted {
+    expected: Arc<Expected>,
+    held: Arc<AtomicUsize>,
+    to_come: usize,
+    here: usize,
+}
+
+impl Counted {
+    fn new(expected: Arc<Expected>, held: Arc<AtomicUsize>, len: usize) -> Counted {
+        expected.bodies.fetch_add(1, Ordering::Relaxed);
+        expected.bytes.fetch_add(len, Ordering::Relaxed);
+        Counted {
+            expected,
+            held,
+            to_come: len,
+            here: 0,
+        }
+    }
+
+    /// Counts bytes that have come; returns how many the node holds now.
+    fn came(&mut self, size: usize) -> usize {
+        let expected = size.min(self.to_come);
+        self.to_come -= expected;
+        self.expected.bytes.fetch_sub(expected, Ordering::Relaxed);
+        self.here += size;
+        self.held.fetch_add(size, Ordering::Relaxed) + size
+    }
 }
 
-impl Drop for Held {
+impl Drop for Counted {
     fn drop(&mut self) {
-        self.all.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.expected.bodies.fetch_sub(1, Ordering::Relaxed);
+        self.expected
+            .bytes
+            .fetch_sub(self.to_come, Ordering::Relaxed);
+        self.held.fetch_sub(self.here, Ordering::Relaxed);
     }
 }
 
 impl Inbox {
     /// Makes an empty one that takes parts while `held` stays within `most` bytes.
-    pub(crate) fn new(held: Arc<AtomicUsize>, most: usize) -> Inbox {
+    pub(crate) fn new(expected: Arc<Expected>, held: Arc<AtomicUsize>, most: usize) -> Inbox {
         Inbox {
             arriving: Mutex::default(),
+            expected,
             held,
             most,
         }
     }
 
-    /// Takes a part; returns `false` if there is no memory for it.
+    /// Expects a body.
+    pub(crate) fn announce(&self, now: Time, body: SentAhead) {
+        let (expected, held) = (self.expected.clone(), self.held.clone());
+        let arriving = Arriving {
+            parts: HashMap::new(),
+            last: now,
+            counted: Counted::new(expected, held, body.len),
+        };
+        self.arriving.lock().insert(body.transfer, arriving);
+    }
+
+    /// Takes a part; returns `false` if there is no memory for it, or the body is not expected.
     pub(crate) fn take(&self, now: Time, part: Part) -> bool {
         let mut arriving = self.arriving.lock();
         arriving.retain(|_, a| now.since(a.last) < MAX_SILENCE);
-        let size = part.bytes.len();
-        if self.held.fetch_add(size, Ordering::Relaxed) + size > self.most {
-            self.held.fetch_sub(size, Ordering::Relaxed);
+        let Some(body) = arriving.get_mut(&part.transfer) else {
+            return false;
+        };
+        if body.counted.came(part.bytes.len()) > self.most {
             arriving.remove(&part.transfer);
             return false;
         }
-        let body = arriving.entry(part.transfer).or_insert_with(|| Arriving {
-            parts: HashMap::new(),
-            last: now,
-            held: Held {
-                all: self.held.clone(),
-                bytes: 0,
-            },
-        });
-        body.held.bytes += size;
         body.last = now;
         body.parts.insert(part.index, part.bytes);
         true
     }
 
     /// Returns a body whose parts have all come.
-    pub(crate) fn whole(&self, transfer: u64, len: usize) -> Option<Bytes> {
+    pub(crate) fn whole(&self, SentAhead { transfer, len }: SentAhead) -> Option<Bytes> {
         let mut body = self.arriving.lock().remove(&transfer)?;
         let mut whole = BytesMut::with_capacity(len);
         for index in 0..u32::try_from(body.parts.len()).ok()? {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,7 +25,9 @@
 pub use hedge::{Hedge, HedgeCfg};
 pub use outlier::{OutlierCfg, max_ejected};
 pub use picker::{Picker, PickerCfg, PickerStats};
-pub use placement::{Candidate, WayTime, expected_time, place, time_to_room, usual_load};
+pub use placement::{
+    Candidate, WayTime, expected_time, has_room, place, room_elsewhere, time_to_room, usual_load,
+};
 pub use quantiles::Quantiles;
 pub use quarantine::{Quarantine, QuarantineCfg, Strike};
 pub use retry::{Attempts, Denial, Failure, MAX_ATTEMPTS, RetryBudget, costs_token};
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -34,6 +34,11 @@
 const SMALL_BYTES: usize = 4_000;
 /// Failure rate from which an instance counts as failing everything.
 const MAX_FAILING: f64 = 0.95;
+/// Failure rate from which an instance with room is not worth asking in place of another.
+const FAILING: f64 = 0.5;
+/// Time to ask another instance beside its time on the way: the refusal's way back over a domain's
+/// border and the work of two nodes on a tenth of a core.
+const ASKING_AGAIN: Duration = Duration::from_millis(10);
 /// Longest wait that is told to callers of a full service.
 const MAX_ROOM: Duration = Duration::from_secs(5);
 
@@ -119,6 +124,26 @@
     told * weight + usual * f64::from(c.load.slots) * (1.0 - weight)
 }
 
+/// Returns whether an instance probably has a free slot.
+pub fn has_room<K>(c: &Candidate<K>, usual: f64) -> bool {
+    let sound = !c.silent && c.failing < FAILING;
+    sound && present(c, usual) + 1.0 <= f64::from(c.load.slots)
+}
+
+/// Returns how long a request should at most wait at `chosen` before another instance is asked, or
+/// `None` if no other one is likely to have a free slot.
+///
+/// The load that it answers is a service with free slots beside full ones. Reports are older the
+/// more nodes there are, so the choice is often wrong, and then asking again costs a few
+/// milliseconds where waiting costs a service time.
+pub fn room_elsewhere<K: PartialEq>(candidates: &[Candidate<K>], chosen: &K) -> Option<Duration> {
+    let usual = usual_load(candidates);
+    let others = candidates.iter().filter(|c| c.key != *chosen);
+    let free = others.filter(|c| has_room(c, usual));
+    let way = free.map(|c| c.on_the_way).min()?;
+    Some(way + ASKING_AGAIN)
+}
+
 /// Returns the mean number of requests a slot, as reported.
 pub fn usual_load<K>(candidates: &[Candidate<K>]) -> f64 {
     let sum = |f: fn(&Load) -> u32| candidates.iter().map(|c| f(&c.load)).sum::<u32>();
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -5,7 +5,10 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use route::{Candidate, Splitter, WayTime, expected_time, place, time_to_room};
+use route::{
+    Candidate, Splitter, WayTime, expected_time, has_room, place, room_elsewhere, time_to_room,
+    usual_load,
+};
 use wire::{Load, ServiceName};
 
 fn candidate(key: u32, in_flight: u32, queued: u32) -> Candidate<u32> {
@@ -147,3 +150,36 @@
     let [a, b, c] = busy;
     assert_eq!(chosen(&[old_empty, fresh, a, b, c], 0), Some(2));
 }
+
+/// Guards against requests that wait beside free slots, and against asking around in a service that
+/// is full.
+#[test]
+fn others_with_room_bound_the_wait() {
+    let full = candidate(1, 6, 4);
+    let free = Candidate {
+        on_the_way: Duration::from_millis(20),
+        ..candidate(2, 2, 0)
+    };
+    let silent = Candidate {
+        silent: true,
+        ..candidate(3, 0, 0)
+    };
+    let failing = Candidate {
+        failing: 0.8,
+        ..candidate(4, 0, 0)
+    };
+    let wait = room_elsewhere(&[full, free], &1).unwrap();
+    assert!(wait >= free.on_the_way && wait < full.service, "{wait:?}");
+    assert_eq!(room_elsewhere(&[full, free], &2), None);
+    assert_eq!(room_elsewhere(&[full, silent, failing], &1), None);
+    // A report that is older than some service times says that the load is as usual.
+    let old = Candidate {
+        age: Duration::from_secs(60),
+        ..candidate(5, 6, 0)
+    };
+    let busy: Vec<_> = (6..9).map(|key| candidate(key, 6, 0)).collect();
+    let quiet: Vec<_> = (6..9).map(|key| candidate(key, 1, 0)).collect();
+    let with = |others: &[Candidate<u32>]| [&[old], others].concat();
+    assert!(!has_room(&old, usual_load(&with(&busy))));
+    assert!(has_room(&old, usual_load(&with(&quiet))));
+}
