Price what crosses failure domains by the objective, and what would be late

Change: the price is 5 % of the objective a kilobyte of body, usual answer and frames, on the scale of waiting; an answer that would be late is priced too, so that work crosses where it wins by it.

--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ops::Metric;
-use route::{Candidate, has_room, place, room_elsewhere, time_to_room, usual_load};
+use route::{Candidate, Stake, has_room, place, room_elsewhere, time_to_room, usual_load};
 use wire::{Code, Refusal, Time};
 
 use crate::beside;
@@ -37,6 +37,9 @@
 /// Least time that an attempt has to itself.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(30);
 
+/// Objective assumed where the route names none: that of a request which a person waits for.
+const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
+
 /// What the caller gets.
 #[derive(Debug)]
 pub(crate) enum Final {
@@ -117,8 +120,7 @@
             .into_iter()
             .filter(|c| !progress.avoid.contains(&c.key))
             .collect();
-        let body = pending.call.body.len();
-        let chosen = place(&mut *shared.rng.lock(), &open, body);
+        let chosen = place(&mut *shared.rng.lock(), &open, &stake(shared, pending, now));
         progress.loads = loads(&open);
         let Some(chosen) = chosen else {
             let refusal = progress.refusal.unwrap_or(Code::NoInstance.into());
@@ -141,6 +143,15 @@
     }
 }
 
+fn stake(shared: &Shared, pending: &Pending, now: Time) -> Stake {
+    Stake {
+        objective: pending.rule.objective.unwrap_or(DEFAULT_OBJECTIVE),
+        left: pending.due.since(now),
+        body_bytes: pending.call.body.len(),
+        answer_bytes: shared.answer_sizes.lock().usual(&pending.rule.name),
+    }
+}
+
 /// How a request asks for a slot.
 #[derive(Clone, Copy, Debug)]
 struct Standing {
@@ -255,7 +266,8 @@
         .filter(|c| c.load.in_flight + c.load.queued + c.sent_since < c.load.slots)
         .copied()
         .collect();
-    let other = place(&mut *shared.rng.lock(), &free, pending.call.body.len())?;
+    let stake = stake(shared, pending, shared.now());
+    let other = place(&mut *shared.rng.lock(), &free, &stake)?;
     shared
         .may_repeat(shared.now(), &pending.call.service)
         .then_some(other)
@@ -273,6 +285,9 @@
     match outcome {
         Outcome::Answer(answer) => {
             progress.sends += 1;
+            let mut sizes = shared.answer_sizes.lock();
+            sizes.measure(&pending.rule.name, answer.body.len());
+            drop(sizes);
             let failed = answer.status >= 500;
             if failed && pending.call.repeatable && progress.may_send(shared, pending) {
                 progress.maybe_ran = true;
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -11,7 +11,7 @@
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use route::{AttemptAges, Budget, BudgetCfg, Quarantine, QuarantineCfg, Splitter};
+use route::{AnswerSizes, AttemptAges, Budget, BudgetCfg, Quarantine, QuarantineCfg, Splitter};
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::task::TaskTracker;
@@ -78,6 +78,7 @@
     pub(crate) upstream: Upstream,
     pub(crate) splitter: Mutex<Splitter>,
     pub(crate) ages: Mutex<AttemptAges>,
+    pub(crate) answer_sizes: Mutex<AnswerSizes>,
     budgets: Mutex<Budgets>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) rng: Mutex<SmallRng>,
@@ -148,6 +149,7 @@
             upstream: Upstream::new(settings.target.addr),
             splitter: Mutex::default(),
             ages: Mutex::default(),
+            answer_sizes: Mutex::default(),
             budgets: Mutex::default(),
             quarantine: Mutex::new(Quarantine::new(QuarantineCfg::default())),
             rng: Mutex::new(rng),
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -267,6 +267,11 @@
     if let Some(table) = shared.versions.table() {
         let names: std::collections::HashSet<_> = table.rules().map(|r| r.name.clone()).collect();
         shared.splitter.lock().retain(|name| names.contains(name));
+        shared.ages.lock().retain(|name| names.contains(name));
+        shared
+            .answer_sizes
+            .lock()
+            .retain(|name| names.contains(name));
     }
 }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O: the current time is an argument, and random choices come from a seeded
 //! generator, so a run depends on its inputs and its seed only.
 
+mod answer_size;
 mod attempt_age;
 mod budget;
 mod hedge;
@@ -20,13 +21,14 @@
 mod subset;
 mod view;
 
+pub use answer_size::AnswerSizes;
 pub use attempt_age::AttemptAges;
 pub use budget::{Budget, BudgetCfg};
 pub use hedge::{Hedge, HedgeCfg};
 pub use outlier::{OutlierCfg, max_ejected};
 pub use picker::{Picker, PickerCfg, PickerStats};
 pub use placement::{
-    Candidate, WayTime, expected_time, has_room, place, room_elsewhere, time_to_room, usual_load,
+    Candidate, Stake, WayTime, cost, has_room, place, room_elsewhere, time_to_room, usual_load,
 };
 pub use quantiles::Quantiles;
 pub use quarantine::{Quarantine, QuarantineCfg, Strike};
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -21,10 +21,16 @@
 const QUEUE_LIFETIME: u32 = 8;
 /// Least such time in seconds; reports travel for some milliseconds.
 const MIN_LIFETIME_S: f64 = 0.02;
-/// Price of a kilobyte that crosses failure domains, as time. The tariff takes 0.65 % of a request's
-/// worth per kilobyte, which is 2.6 ms of an objective of 400 ms; a wait takes about a fifth of the
-/// part of the objective that it fills, since most requests that wait are still on time.
-const REMOTE_PER_KB: Duration = Duration::from_millis(13);
+/// Price of a kilobyte that crosses failure domains, as a part of the objective. The tariff takes 1 %
+/// of the mean worth of a request per kilobyte; a wait takes about a fifth of the part of the
+/// objective that it fills, since most requests that wait are still on time.
+const REMOTE_PER_KB: f64 = 0.01 * 5.0;
+/// Price of an answer that is expected after the objective, in objectives: it loses 0.5 to 0.7 of
+/// its worth, on the scale of `REMOTE_PER_KB`.
+const LATE: f64 = 0.6 * 5.0;
+/// Least objective by which bytes are priced. Calls of running work have shorter ones, and stand for
+/// the request that needs them.
+const MIN_OBJECTIVE: Duration = Duration::from_millis(400);
 /// Bytes of heads and frames beside the bodies of a request and its answer.
 const FRAME_BYTES: usize = 600;
 /// Weight of a new measurement of the time on the way: about the last 8 requests count.
@@ -42,6 +48,19 @@
 /// Longest wait that is told to callers of a full service.
 const MAX_ROOM: Duration = Duration::from_secs(5);
 
+/// What a request can win and what it carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stake {
+    /// Time within which an answer has its full worth.
+    pub objective: Duration,
+    /// What is left of it.
+    pub left: Duration,
+    /// Bytes of the request's body.
+    pub body_bytes: usize,
+    /// Usual bytes of an answer's body.
+    pub answer_bytes: usize,
+}
+
 /// What is known of an instance.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate<K> {
@@ -96,23 +115,28 @@
     }
 }
 
-/// Estimates the time from sending a request until its answer. `usual` is the usual number of
-/// requests a slot in the service.
-pub fn expected_time<K>(c: &Candidate<K>, usual: f64, body_bytes: usize) -> Duration {
+/// Estimates what an answer of the instance costs: the time until it, and the prices of bytes that
+/// cross failure domains and of being late as time. `usual` is the usual number of requests a slot in
+/// the service.
+pub fn cost<K>(c: &Candidate<K>, usual: f64, stake: &Stake) -> Duration {
     let slots = f64::from(c.load.slots.max(1));
     let present = present(c, usual);
     let service = c.service.as_secs_f64();
     let waiting = (present + 1.0 - slots).max(0.0);
     let wait = waiting * service / slots;
     let full = FULL_PENALTY * service * (present / slots).min(1.0);
-    let remote = if c.near {
-        0.0
-    } else {
-        remote_price(body_bytes)
-    };
+    let remote = if c.near { 0.0 } else { remote_price(stake) };
     let served = 1.0 - c.failing.clamp(0.0, MAX_FAILING);
     let way = c.on_the_way.as_secs_f64();
-    Duration::from_secs_f64((service + wait + full + way) / (served * served) + remote)
+    let time = (service + wait + full + way) / (served * served);
+    // The penalty of a full target is a caution, not a time that its requests take.
+    let answered = service + wait + way;
+    let late = if answered > stake.left.as_secs_f64() && !stake.left.is_zero() {
+        LATE * stake.objective.as_secs_f64()
+    } else {
+        0.0
+    };
+    Duration::from_secs_f64(time + remote + late)
 }
 
 /// Estimates the requests that an instance has now. What a report said of its queue is worth less
@@ -151,16 +175,12 @@
 }
 
 /// Returns the key of the instance that is expected to answer first; silent ones come last.
-pub fn place<K: Copy>(
-    rng: &mut impl Rng,
-    candidates: &[Candidate<K>],
-    body_bytes: usize,
-) -> Option<K> {
+pub fn place<K: Copy>(rng: &mut impl Rng, candidates: &[Candidate<K>], stake: &Stake) -> Option<K> {
     let usual = usual_load(candidates);
     let mut best: Option<(bool, f64, K)> = None;
-    for c in sample(rng, candidates) {
+    for c in sample(rng, candidates, stake) {
         let varied = 1.0 + JITTER * (unit(rng) - 0.5);
-        let cost = expected_time(c, usual, body_bytes).as_secs_f64() * varied;
+        let cost = cost(c, usual, stake).as_secs_f64() * varied;
         let better = best.is_none_or(|(silent, least, _)| (c.silent, cost) < (silent, least));
         if better {
             best = Some((c.silent, cost, c.key));
@@ -184,10 +204,15 @@
         .min(MAX_ROOM)
 }
 
-/// Draws the instances to compare: all of a small service, else some at random by their speed. If
+/// Draws the instances to compare: all of a small service, else some at random by their speed and
+/// the price of the way. If
 /// all entry nodes compared all instances by reports that are seconds old, they would all take the
 /// same one.
-fn sample<'a, K>(rng: &mut impl Rng, candidates: &'a [Candidate<K>]) -> Vec<&'a Candidate<K>> {
+fn sample<'a, K>(
+    rng: &mut impl Rng,
+    candidates: &'a [Candidate<K>],
+    stake: &Stake,
+) -> Vec<&'a Candidate<K>> {
     let mut open: Vec<_> = candidates.iter().filter(|c| c.load.slots > 0).collect();
     if open.len() <= COMPARED {
         return open;
@@ -195,7 +220,8 @@
     // Weighted sampling without replacement: the largest of u^(1/w) are drawn.
     let key = |c: &Candidate<K>, u: f64| {
         let service = c.service.as_secs_f64().max(MIN_LIFETIME_S);
-        let speed = f64::from(c.load.slots) / (service + c.on_the_way.as_secs_f64());
+        let remote = if c.near { 0.0 } else { remote_price(stake) };
+        let speed = f64::from(c.load.slots) / (service + c.on_the_way.as_secs_f64() + remote);
         u.max(f64::MIN_POSITIVE).ln() / speed
     };
     open.sort_by_cached_key(|c| {
@@ -207,8 +233,10 @@
     open
 }
 
-fn remote_price(body_bytes: usize) -> f64 {
-    REMOTE_PER_KB.as_secs_f64() * kilobytes(body_bytes + FRAME_BYTES)
+fn remote_price(stake: &Stake) -> f64 {
+    let bytes = stake.body_bytes + stake.answer_bytes + FRAME_BYTES;
+    let objective = stake.objective.max(MIN_OBJECTIVE);
+    REMOTE_PER_KB * objective.as_secs_f64() * kilobytes(bytes)
 }
 
 fn kilobytes(bytes: usize) -> f64 {
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -6,8 +6,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use route::{
-    Candidate, Splitter, WayTime, expected_time, has_room, place, room_elsewhere, time_to_room,
-    usual_load,
+    AnswerSizes, Candidate, Splitter, Stake, WayTime, cost, has_room, place, room_elsewhere,
+    time_to_room, usual_load,
 };
 use wire::{Load, ServiceName};
 
@@ -30,7 +30,16 @@
 }
 
 fn chosen(candidates: &[Candidate<u32>], body: usize) -> Option<u32> {
-    place(&mut SmallRng::seed_from_u64(1), candidates, body)
+    place(&mut SmallRng::seed_from_u64(1), candidates, &stake(body))
+}
+
+fn stake(body_bytes: usize) -> Stake {
+    Stake {
+        objective: Duration::from_millis(400),
+        left: Duration::from_millis(400),
+        body_bytes,
+        answer_bytes: 0,
+    }
 }
 
 /// Guards against choices by the number of requests alone, or by old reports alone.
@@ -81,7 +90,7 @@
     };
     assert_eq!(chosen(&[busy, far], 500), Some(2));
     assert_eq!(chosen(&[busy, far], 60_000), Some(1));
-    let time = |c| expected_time(c, 0.5, 60_000);
+    let time = |c| cost(c, 0.5, &stake(60_000));
     assert!(time(&candidate(1, 6, 60)) > time(&far));
 }
 
@@ -183,3 +192,49 @@
     assert!(!has_room(&old, usual_load(&with(&busy))));
     assert!(has_room(&old, usual_load(&with(&quiet))));
 }
+
+/// Guards against bytes that cross failure domains for a short wait, although the objective leaves
+/// time for it, and against large answers that count as nothing.
+#[test]
+fn what_crosses_is_priced_by_the_objective_and_the_answer() {
+    let busy = candidate(1, 6, 5);
+    let far = Candidate {
+        near: false,
+        ..candidate(2, 0, 0)
+    };
+    let stake = |objective, answer_bytes| {
+        let objective = Duration::from_millis(objective);
+        Stake {
+            objective,
+            left: objective,
+            body_bytes: 0,
+            answer_bytes,
+        }
+    };
+    let chosen = |s: &Stake| place(&mut SmallRng::seed_from_u64(1), &[busy, far], s);
+    assert_eq!(chosen(&stake(400, 1_000)), Some(2));
+    assert_eq!(chosen(&stake(400, 20_000)), Some(1));
+    assert_eq!(chosen(&stake(4_000, 4_000)), Some(1));
+    // What would be late nearby is worth more far away, unless it is late already.
+    assert_eq!(chosen(&stake(150, 20_000)), Some(2));
+    let late = Stake {
+        left: Duration::ZERO,
+        ..stake(150, 20_000)
+    };
+    assert_eq!(chosen(&late), Some(1));
+}
+
+/// Guards against a route's usual answer that is forgotten, or kept after the route has gone.
+#[test]
+fn the_usual_size_of_answers_is_learnt() {
+    let (a, b): (Arc<str>, Arc<str>) = ("a".into(), "b".into());
+    let mut sizes = AnswerSizes::default();
+    assert_eq!(sizes.usual("a"), 0);
+    for _ in 0..100 {
+        sizes.measure(&a, 1_500);
+        sizes.measure(&b, 90);
+    }
+    assert_eq!((sizes.usual("a"), sizes.usual("b")), (1_500, 90));
+    sizes.retain(|name| name == "a");
+    assert_eq!((sizes.usual("a"), sizes.usual("b")), (1_500, 0));
+}
