Refuse calls that stood still on their link, withdraw bodies without a call

Found while reading the code for it: the announced body of a caller that leaves stayed in the counts of the other node for up to 20 s and kept other bodies out. Ruled out: a cancellation that was lost (it is sent, and arrives after the call). Change: WayAge compares the clocks of a connection's ends by the fastest call; one that is 400 ms later is refused as not run, others lose the delay from their times. A body is withdrawn when the attempt ends before its call. Calls to other nodes have a module of their own, remote.

--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -10,11 +10,10 @@
 
 use crate::beside;
 use crate::entry::Pending;
-use crate::link::context;
-use crate::message::{Answer, Call, Failure, LinkClient, Outcome, Reply, SentAhead, Times};
+use crate::message::{Answer, Failure, Outcome, Times};
 use crate::peers::PeerKey;
+use crate::remote;
 use crate::shared::{Phase, Shared};
-use crate::transfer;
 
 /// Nodes that may refuse a request before the caller is refused. A third one rarely has room when
 /// the two that seemed best have none, and asking takes time that a refusal should not.
@@ -23,14 +22,6 @@
 /// chance; four leave one request in sixteen where half of the instances are full.
 const MAX_BOUNCES_WITH_ROOM: u32 = 4;
 
-/// Time without a reply after which a node that has sent nothing else is asked whether it lives.
-/// Most requests are answered by then.
-const DOUBT_AFTER: Duration = Duration::from_millis(400);
-
-/// Time for the answer to a node that wants to send a body. It does no work, so one that takes
-/// longer is overloaded or cut off.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Part of the objective after which a second attempt is made. What is left is enough for most
 /// requests, and few take so long where nothing is wrong.
 const HEDGE_SHARE: f64 = 0.7;
@@ -422,112 +413,7 @@
             let reply = beside::run(shared, call).await;
             (reply.outcome, reply.times)
         }
-        Place::Peer(key) => call_peer(shared, pending, key, call).await,
-    }
-}
-
-async fn call_peer(
-    shared: &Shared,
-    pending: &Pending,
-    key: PeerKey,
-    mut call: Call,
-) -> (Outcome, Times) {
-    let client = {
-        let mut peers = shared.peers.lock();
-        peers.sent(key);
-        peers.client(key)
-    };
-    let Some(client) = client else {
-        let refusal = Refusal::from(Code::NoInstance);
-        return (Outcome::Refused(refusal.into()), Times::default());
-    };
-    let sent = shared.now();
-    let body_bytes = call.body.len();
-    if let Err(refusal) = send_ahead(shared, pending, key, &client, &mut call).await {
-        return (Outcome::Refused(refusal.into()), Times::default());
-    }
-    let left = pending.limit.since(shared.now());
-    let reply = client.call(context(left), call);
-    tokio::pin!(reply);
-    let reply = match tokio::time::timeout(DOUBT_AFTER, &mut reply).await {
-        Ok(reply) => reply,
-        Err(_) => {
-            shared.peers.lock().doubt(shared.now(), key, DOUBT_AFTER);
-            reply.await
-        }
-    };
-    match reply {
-        Ok(Reply {
-            queue,
-            outcome,
-            times,
-        }) => {
-            let away = Duration::from_millis((times.queued_ms + times.target_ms).into());
-            let way = shared.now().since(sent).saturating_sub(away);
-            let mut peers = shared.peers.lock();
-            peers.queue(shared.now(), key, queue.into());
-            peers.measured(key, way, body_bytes);
-            (outcome, times)
-        }
-        Err(e) => {
-            log::info!(event = "peer_call_failed", error:% = e; "the node beside the target was lost");
-            (Outcome::Failed(Failure::PeerLost), Times::default())
-        }
-    }
-}
-
-/// Sends a large body ahead of its call. Until the call follows, the request can't run.
-async fn send_ahead(
-    shared: &Shared,
-    pending: &Pending,
-    key: PeerKey,
-    client: &LinkClient,
-    call: &mut Call,
-) -> Result<(), Refusal> {
-    if !transfer::is_large(&call.body) {
-        return Ok(());
-    }
-    let body = std::mem::take(&mut call.body);
-    let ahead = SentAhead {
-        transfer: shared.next_transfer(),
-        len: body.len(),
-    };
-    call.ahead = Some(ahead);
-    announce(shared, key, client, call).await?;
-    let cx = context(pending.limit.since(shared.now()));
-    let sent = transfer::send(client, cx, ahead.transfer, &body).await;
-    sent.map_err(|e| match e {
-        transfer::SendError::Refused => Refusal::from(Code::QueueFull),
-        transfer::SendError::Lost(e) => {
-            log::info!(event = "body_not_sent", id = call.request_id.as_str(), error:% = e; "the node beside the target was lost before the request was sent");
-            Refusal::from(Code::NoInstance)
-        }
-    })?;
-    let now = shared.now();
-    call.left_ms = millis(pending.limit.since(now));
-    call.due_ms = millis(pending.due.since(now));
-    Ok(())
-}
-
-/// Asks whether a body may be sent ahead of its call.
-async fn announce(
-    shared: &Shared,
-    key: PeerKey,
-    client: &LinkClient,
-    call: &Call,
-) -> Result<(), Refusal> {
-    let asked = client.announce_body(context(ANNOUNCE_TIMEOUT), call.clone());
-    match tokio::time::timeout(ANNOUNCE_TIMEOUT, asked).await {
-        Ok(Ok(answer)) => {
-            let mut peers = shared.peers.lock();
-            peers.queue(shared.now(), key, answer.queue.into());
-            answer.refusal.map_or(Ok(()), |r| Err(r.into()))
-        }
-        Ok(Err(_)) | Err(_) => {
-            shared.peers.lock().doubt(shared.now(), key, DOUBT_AFTER);
-            log::info!(event = "body_not_announced", id = call.request_id.as_str(); "the node beside the target does not answer, and the request was not sent");
-            Err(Code::NoInstance.into())
-        }
+        Place::Peer(key) => remote::call_peer(shared, pending, key, call).await,
     }
 }
 
@@ -551,6 +437,6 @@
     out
 }
 
-fn millis(d: Duration) -> u64 {
+pub(crate) fn millis(d: Duration) -> u64 {
     u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -146,6 +146,7 @@
         repeatable: beside::is_repeatable(rule.repeat),
         last_resort: false,
         max_wait_ms: None,
+        sent_us: 0,
         request_id: id.to_owned(),
         method: parts.method.as_str().to_owned(),
         path: path.to_owned(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,8 +4,8 @@
 //! record in a log. The node beside a target is the only way to it: slots, order of work and
 //! leaving are settled there.
 //!
-//! - `listen`, `entry`, `attempts`: requests of callers, from their arrival to the attempts at
-//!   single instances.
+//! - `listen`, `entry`, `attempts`, `remote`: requests of callers, from their arrival to the
+//!   attempts at single instances.
 //! - `beside`, `upstream`, `health`: the side that faces the target.
 //! - `link`, `message`, `peers`, `transfer`: other nodes.
 //! - `source`, `readers`, `versions`: the log, who reads it, and the routing table in force.
@@ -24,6 +24,7 @@
 mod node;
 mod peers;
 mod readers;
+mod remote;
 mod settings;
 mod shared;
 mod source;
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use parking_lot::Mutex;
+use route::WayAge;
 use socket2::SockRef;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -47,6 +49,9 @@
 /// Time for the calls on a connection that is no longer used to be answered: the longest timeouts of
 /// routes in use. A link that is cut ends them sooner, by `USER_TIMEOUT`.
 const LINGER: Duration = Duration::from_secs(6);
+/// A call that was on the way for longer than the fastest one is not run. Its caller may have left
+/// meanwhile, and work must not start more than 500 ms after that.
+const MAX_WAY_AGE: Duration = Duration::from_millis(400);
 /// Waits between attempts to connect.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
@@ -58,6 +63,7 @@
 struct Served {
     shared: Arc<Shared>,
     inbox: Arc<Inbox>,
+    way_age: Arc<Mutex<WayAge>>,
 }
 
 impl Link for Served {
@@ -101,7 +107,19 @@
         self.inbox.take(self.shared.now(), part)
     }
 
+    async fn withdraw_body(self, _: Context, transfer: u64) {
+        self.inbox.withdraw(transfer);
+    }
+
     async fn call(self, _: Context, mut call: Call) -> Reply {
+        let age = self.way_age.lock().measure(self.shared.now(), call.sent_us);
+        if age > MAX_WAY_AGE {
+            log::info!(event = "late_on_the_way", id = call.request_id.as_str(), ms = age.as_millis() as u64; "refused, since its caller may have left");
+            return beside::refuse(&self.shared, &call, Code::CannotStartInTime.into());
+        }
+        let age_ms = age.as_millis() as u64;
+        call.left_ms = call.left_ms.saturating_sub(age_ms);
+        call.due_ms = call.due_ms.saturating_sub(age_ms);
         if let Some(ahead) = call.ahead {
             match self.inbox.whole(ahead) {
                 Some(body) => call.body = body,
@@ -158,6 +176,7 @@
     let served = Served {
         shared,
         inbox: Arc::new(inbox),
+        way_age: Arc::default(),
     }
     .serve();
     let mut requests = Box::pin(channel.requests());
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -23,6 +23,8 @@
     async fn announce_body(call: Call) -> BodyAnswer;
     /// Takes a part of a body that was announced. `false` means that there is no memory for it.
     async fn body_part(part: Part) -> bool;
+    /// Tells that the call of a body will not come.
+    async fn withdraw_body(transfer: u64);
     /// Runs a request at the target beside this node.
     async fn call(call: Call) -> Reply;
     /// Tells that a target died while it ran a request.
@@ -117,6 +119,8 @@
     pub(crate) last_resort: bool,
     /// Longest wait for a slot in milliseconds, none if no other instance is likely to be free.
     pub(crate) max_wait_ms: Option<u32>,
+    /// When it left, in microseconds of the sender's clock.
+    pub(crate) sent_us: u64,
     pub(crate) request_id: String,
     pub(crate) method: String,
     pub(crate) path: String,
--- a/crates/proxy/src/transfer.rs
+++ b/crates/proxy/src/transfer.rs
@@ -23,9 +23,9 @@
 /// Parts of one body that are under way at once: one on the link while the word of the other's
 /// arrival returns.
 const PARTS_UNDER_WAY: usize = 2;
-/// Time without a further part after which a body is dropped. The sender of a live one gives up
-/// sooner.
-const MAX_SILENCE: Duration = Duration::from_secs(20);
+/// Time without a further part after which a body is dropped, if its sender could not withdraw it.
+/// The time after which a link that is cut ends is shorter.
+const MAX_SILENCE: Duration = Duration::from_secs(5);
 
 /// A part of a body.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -172,13 +172,19 @@
             last: now,
             counted: Counted::new(expected, held, body.len),
         };
-        self.arriving.lock().insert(body.transfer, arriving);
+        let mut bodies = self.arriving.lock();
+        bodies.retain(|_, a| now.since(a.last) < MAX_SILENCE);
+        bodies.insert(body.transfer, arriving);
+    }
+
+    /// Drops a body whose call will not come.
+    pub(crate) fn withdraw(&self, transfer: u64) {
+        self.arriving.lock().remove(&transfer);
     }
 
     /// Takes a part; returns `false` if there is no memory for it, or the body is not expected.
     pub(crate) fn take(&self, now: Time, part: Part) -> bool {
         let mut arriving = self.arriving.lock();
-        arriving.retain(|_, a| now.since(a.last) < MAX_SILENCE);
         let Some(body) = arriving.get_mut(&part.transfer) else {
             return false;
         };
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -20,6 +20,7 @@
 mod split;
 mod subset;
 mod view;
+mod way_age;
 
 pub use answer_size::AnswerSizes;
 pub use attempt_age::AttemptAges;
@@ -36,3 +37,4 @@
 pub use silence::Silence;
 pub use split::Splitter;
 pub use view::{Ask, Kind, Outcome, Pick, RouteKey, State, Ticket, View};
+pub use way_age::WayAge;
--- a/tests/requests/drain.rs
+++ b/tests/requests/drain.rs
@@ -11,6 +11,8 @@
 
 /// Bound of the design for new work at a target that drains.
 const NO_NEW_WORK_AFTER: Duration = Duration::from_secs(3);
+/// Longest time until a node under load has a request at its target.
+const PATIENCE: Duration = Duration::from_secs(5);
 
 /// Callers that repeat a request each until stopped.
 struct Callers {
@@ -155,6 +157,19 @@
     Some(read)
 }
 
+/// Waits until a request holds a slot of the target beside `victim`. Between two requests there may
+/// be none for a few milliseconds.
+async fn until_busy(mesh: &Mesh, victim: usize) {
+    let begun = Instant::now();
+    loop {
+        let load = mesh.state(victim).await.unwrap().load;
+        if load.in_flight > 0 {
+            return;
+        }
+        assert!(begun.elapsed() < PATIENCE, "nothing to cut");
+    }
+}
+
 /// Guards against a shutdown that cuts requests, short ones or long ones, of callers that use other
 /// entry nodes.
 #[tokio::test(flavor = "multi_thread")]
@@ -175,8 +190,7 @@
         })
         .collect();
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let load = mesh.state(victim).await.unwrap().load;
-    assert!(load.in_flight > 0, "nothing to cut");
+    until_busy(&mesh, victim).await;
 
     mesh.nodes[victim].proc.as_ref().unwrap().signal("TERM");
     let exit = mesh.nodes[victim].proc.as_mut().unwrap();
