Serve pipelined requests concurrently on connections of our own

Change: crate http1, the state of a connection without I/O (parsing by httparse, ambiguous framing refused, responses in order, read-ahead bounded in requests and bytes); proxy::caller drives it. Repeatable requests run side by side; one that must not be repeated waits for its turn, since its caller sends it again after a response that closes the connection. A request is in progress until its response is written. Codes 110 and 111 for heads that are late or large.

--- /dev/null
+++ b/crates/http1/src/conn.rs
@@ -0,0 +1,396 @@
+//! State of a connection.
+
+use std::collections::VecDeque;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::{Method, Response};
+use slotmap::{SlotMap, new_key_type};
+use wire::Time;
+
+use crate::body::Decoder;
+use crate::head::{self, HeadScanner, ParseError, ParsedHead, RequestHead};
+use crate::limits::Limits;
+use crate::response::{self, CONTINUE};
+
+new_key_type! {
+    /// Identifies a request for the lifetime of its connection.
+    pub struct RequestKey;
+}
+
+/// What the connection has read, or a change that a request waits for.
+#[derive(Debug)]
+pub enum Event {
+    /// The head of a request has arrived. Unless `has_body` is false, `Body` events and `BodyEnd`
+    /// follow, or `Invalid`.
+    Head {
+        /// The request.
+        key: RequestKey,
+        /// Method, target and headers.
+        head: RequestHead,
+        /// Whether a body follows.
+        has_body: bool,
+        /// Whether all earlier requests have a response; otherwise `Next` follows.
+        is_next: bool,
+    },
+    /// A part of a request's body has arrived.
+    Body {
+        /// The request.
+        key: RequestKey,
+        /// The part, never empty.
+        data: Bytes,
+    },
+    /// The body of a request is complete.
+    BodyEnd {
+        /// The request.
+        key: RequestKey,
+    },
+    /// All requests before this one have a response.
+    Next {
+        /// The request.
+        key: RequestKey,
+    },
+    /// A request can't be read, so the connection reads no further ones. If the request's `Head`
+    /// has been returned, the error is in its body.
+    Invalid {
+        /// The request, which needs a response.
+        key: RequestKey,
+        /// Why it can't be read.
+        error: ParseError,
+    },
+}
+
+/// The server side of a connection.
+#[derive(Debug)]
+pub struct Conn {
+    limits: Limits,
+    input: BytesMut,
+    scanner: HeadScanner,
+    reading: Reading,
+    /// Requests without a response in `output`.
+    exchanges: SlotMap<RequestKey, Exchange>,
+    /// The same requests in the order in which they arrived.
+    order: VecDeque<RequestKey>,
+    /// Encoded responses that are not completely written.
+    output: VecDeque<Bytes>,
+    /// Bytes in `output`, and in responses that wait for earlier ones.
+    held_bytes: usize,
+    /// `Next` events that have not been returned.
+    next: Option<RequestKey>,
+    /// When bytes were last received or written.
+    active_at: Time,
+    /// When the first byte of the head that is being read was seen.
+    head_began_at: Option<Time>,
+    is_closing: bool,
+    is_broken: bool,
+}
+
+/// What the next received bytes belong to.
+#[derive(Debug)]
+enum Reading {
+    Head,
+    Body {
+        key: RequestKey,
+        decoder: Decoder,
+    },
+    /// No further request is read; received bytes are dropped.
+    Stopped,
+}
+
+#[derive(Debug)]
+struct Exchange {
+    method: Method,
+    keeps_alive: bool,
+    expects_continue: bool,
+    has_whole_body: bool,
+    /// Whether the owner knows that all earlier requests have a response.
+    is_next: bool,
+    response: Option<Response<Bytes>>,
+}
+
+impl Conn {
+    /// Makes the state of a connection that was accepted at `now`.
+    pub fn new(limits: Limits, now: Time) -> Conn {
+        Conn {
+            limits,
+            input: BytesMut::new(),
+            scanner: HeadScanner::default(),
+            reading: Reading::Head,
+            exchanges: SlotMap::with_key(),
+            order: VecDeque::new(),
+            output: VecDeque::new(),
+            held_bytes: 0,
+            next: None,
+            active_at: now,
+            head_began_at: None,
+            is_closing: false,
+            is_broken: false,
+        }
+    }
+
+    /// Changes the limits, for the requests whose heads have not been read.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Returns the buffer to which received bytes are appended, before `poll`.
+    pub fn input(&mut self) -> &mut BytesMut {
+        &mut self.input
+    }
+
+    /// Returns whether more bytes should be received. They need not be while as many are held as
+    /// the limits allow.
+    pub fn wants_input(&self) -> bool {
+        let max_bytes = self.limits.read_ahead.bytes();
+        matches!(self.reading, Reading::Stopped)
+            || self.input.len() < max_bytes.max(self.limits.header_bytes)
+    }
+
+    /// Records that bytes were received or written.
+    pub fn record_activity(&mut self, now: Time) {
+        self.active_at = now;
+    }
+
+    /// Returns the next event; `None` once bytes, a response or the end of a timeout is needed.
+    /// While `may_read_ahead` is false, no request is read that would have to wait for others.
+    pub fn poll(&mut self, now: Time, may_read_ahead: bool) -> Option<Event> {
+        if let Some(key) = self.next.take() {
+            return Some(Event::Next { key });
+        }
+        let event = match self.reading {
+            Reading::Head => self.poll_head(now, may_read_ahead),
+            Reading::Body { key, decoder } => self.poll_body(key, decoder),
+            Reading::Stopped => None,
+        };
+        if matches!(self.reading, Reading::Stopped) || self.input.is_empty() {
+            // Idle connections are many, and hold no buffer.
+            self.input = BytesMut::new();
+        }
+        event
+    }
+
+    fn poll_head(&mut self, now: Time, may_read_ahead: bool) -> Option<Event> {
+        if !self.may_start_request(may_read_ahead) {
+            return None;
+        }
+        let taken = self.scanner.take(&mut self.input, self.limits.header_bytes);
+        let began_at = *self.head_began_at.get_or_insert(now);
+        let raw = match taken {
+            Ok(Some(raw)) => raw,
+            Ok(None) if self.input.is_empty() => {
+                self.head_began_at = None;
+                return None;
+            }
+            Ok(None) if now.since(began_at) < self.limits.header_timeout => return None,
+            Ok(None) => return Some(self.reject(ParseError::HeadTimeout)),
+            Err(e) => return Some(self.reject(e)),
+        };
+        self.head_began_at = None;
+        let parsed = head::parse(&raw).and_then(|p| {
+            let decoder = Decoder::new(p.framing, self.limits.body_bytes)?;
+            Ok((p, decoder))
+        });
+        Some(match parsed {
+            Ok((parsed, decoder)) => self.accept(parsed, decoder),
+            Err(e) => self.reject(e),
+        })
+    }
+
+    /// Returns whether a further request may be read: none is in progress, or the limits of the
+    /// read-ahead allow one more.
+    fn may_start_request(&self, may_read_ahead: bool) -> bool {
+        let read_ahead = self.limits.read_ahead;
+        let has_room = self.held_bytes < read_ahead.bytes();
+        match self.order.len() {
+            0 => has_room || self.output.is_empty(),
+            n => has_room && may_read_ahead && n < read_ahead.requests(),
+        }
+    }
+
+    fn accept(&mut self, parsed: ParsedHead, decoder: Decoder) -> Event {
+        let has_body = !decoder.is_at_end();
+        let is_next = self.order.is_empty();
+        let key = self.exchanges.insert(Exchange {
+            method: parsed.head.method.clone(),
+            keeps_alive: parsed.keeps_alive,
+            expects_continue: parsed.expects_continue,
+            has_whole_body: !has_body,
+            is_next,
+            response: None,
+        });
+        self.order.push_back(key);
+        self.reading = if has_body {
+            Reading::Body { key, decoder }
+        } else {
+            Conn::reading_after(parsed.keeps_alive)
+        };
+        self.send_continue();
+        Event::Head {
+            key,
+            head: parsed.head,
+            has_body,
+            is_next,
+        }
+    }
+
+    /// Adds a request that can't be read; no further one is read.
+    fn reject(&mut self, error: ParseError) -> Event {
+        let key = self.exchanges.insert(Exchange {
+            method: Method::GET,
+            keeps_alive: false,
+            expects_continue: false,
+            has_whole_body: true,
+            is_next: true,
+            response: None,
+        });
+        self.order.push_back(key);
+        self.head_began_at = None;
+        self.reading = Reading::Stopped;
+        Event::Invalid { key, error }
+    }
+
+    fn poll_body(&mut self, key: RequestKey, mut decoder: Decoder) -> Option<Event> {
+        let decoded = decoder.decode(&mut self.input);
+        self.reading = Reading::Body { key, decoder };
+        match decoded {
+            Ok(Some(data)) => Some(Event::Body { key, data }),
+            Ok(None) if decoder.is_at_end() => {
+                // The exchange exists: a response before the body's end stops the reading.
+                let exchange = self.exchanges.get_mut(key)?;
+                exchange.has_whole_body = true;
+                self.reading = Conn::reading_after(exchange.keeps_alive);
+                Some(Event::BodyEnd { key })
+            }
+            Ok(None) => None,
+            Err(error) => {
+                self.exchanges.get_mut(key)?.keeps_alive = false;
+                self.reading = Reading::Stopped;
+                Some(Event::Invalid { key, error })
+            }
+        }
+    }
+
+    fn reading_after(keeps_alive: bool) -> Reading {
+        if keeps_alive {
+            Reading::Head
+        } else {
+            Reading::Stopped
+        }
+    }
+
+    /// Sets the response to a request. It is written after those to all earlier requests.
+    pub fn respond(&mut self, key: RequestKey, response: Response<Bytes>) {
+        let Some(exchange) = self.exchanges.get_mut(key) else {
+            return;
+        };
+        self.held_bytes += response.body().len();
+        exchange.response = Some(response);
+        self.encode_ready();
+    }
+
+    /// Encodes the responses at the front of the order.
+    fn encode_ready(&mut self) {
+        while let Some(&key) = self.order.front() {
+            let Some(response) = self.exchanges[key].response.take() else {
+                break;
+            };
+            self.order.pop_front();
+            let Some(exchange) = self.exchanges.remove(key) else {
+                break;
+            };
+            let is_last = self.is_closing && self.order.is_empty();
+            let closes = !exchange.keeps_alive || !exchange.has_whole_body || is_last;
+            if closes {
+                self.stop_reading();
+            }
+            let encoded = response::encode(&exchange.method, &response, closes);
+            self.held_bytes = self.held_bytes - response.body().len() + encoded.len();
+            self.output.push_back(encoded);
+        }
+        self.send_continue();
+        if let Some(&key) = self.order.front()
+            && !std::mem::replace(&mut self.exchanges[key].is_next, true)
+        {
+            self.next = Some(key);
+        }
+    }
+
+    /// Sends the interim response to the request that is next, if it waits for that.
+    fn send_continue(&mut self) {
+        let Some(&key) = self.order.front() else {
+            return;
+        };
+        let exchange = &mut self.exchanges[key];
+        if std::mem::take(&mut exchange.expects_continue) && !exchange.has_whole_body {
+            self.held_bytes += CONTINUE.len();
+            self.output.push_back(Bytes::from_static(CONTINUE));
+        }
+    }
+
+    /// Returns the bytes to write next.
+    pub fn output(&self) -> Option<&[u8]> {
+        self.output.front().map(|b| &b[..])
+    }
+
+    /// Records that `len` bytes of `output` were written.
+    pub fn record_written(&mut self, now: Time, len: usize) {
+        self.active_at = now;
+        self.held_bytes -= len;
+        if let Some(front) = self.output.front_mut() {
+            front.advance(len);
+            if front.is_empty() {
+                self.output.pop_front();
+            }
+        }
+    }
+
+    /// Ends the connection with the response to the last request that has been received by then, or
+    /// else to the next one. A request may be on its way, so an idle connection is not closed.
+    pub fn close(&mut self) {
+        self.is_closing = true;
+    }
+
+    fn stop_reading(&mut self) {
+        self.reading = Reading::Stopped;
+        self.head_began_at = None;
+        self.input.clear();
+    }
+
+    /// Returns when `handle_timeout` is due, if no event comes first.
+    pub fn timeout_at(&self) -> Option<Time> {
+        if let Some(began_at) = self.head_began_at {
+            return Some(began_at + self.limits.header_timeout);
+        }
+        let waits_for_caller = self.order.is_empty() || !self.output.is_empty();
+        waits_for_caller.then(|| self.active_at + self.limits.idle_timeout)
+    }
+
+    /// Ends the connection if its caller has been idle or has read nothing for too long. The
+    /// timeout of a head is an event of `poll`.
+    pub fn handle_timeout(&mut self, now: Time) {
+        let is_idle = now.since(self.active_at) >= self.limits.idle_timeout;
+        if !is_idle || self.head_began_at.is_some() {
+            return;
+        }
+        if !self.output.is_empty() {
+            self.is_broken = true;
+        } else if self.order.is_empty() {
+            self.stop_reading();
+        }
+    }
+
+    /// Returns the number of requests whose responses are not completely written.
+    pub fn unanswered(&self) -> usize {
+        self.order.len() + self.output.len()
+    }
+
+    /// Returns the bytes of responses that are not completely written.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
+    /// Returns whether the connection should be closed: no further request is read, and all
+    /// responses are written, or the caller reads none.
+    pub fn is_finished(&self) -> bool {
+        self.is_broken || (matches!(self.reading, Reading::Stopped) && self.unanswered() == 0)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/caller.rs
@@ -0,0 +1,311 @@
+//! The connection of a caller. Requests that the caller pipelines are served concurrently; the
+//! `http1` crate decides what is read and in which order responses are written.
+
+use std::io::{Error, ErrorKind};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use http1::{Conn, Event, Limits, ParseError, RequestKey};
+use slotmap::SecondaryMap;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, Sleep};
+use wire::{Code, Time};
+
+use crate::entry::{self, Arrival};
+use crate::shared::{Phase, Shared};
+
+/// Largest number of bytes that one read takes from the socket.
+const READ_BYTES: usize = 16 << 10;
+/// Initial size of the read buffer: most requests are smaller.
+const INITIAL_READ_BYTES: usize = 2 << 10;
+/// Interval between checks whether the caller has disconnected while nothing is read from it.
+const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Time in which a caller may read the last response. If the connection were closed at once, bytes
+/// that the caller is still sending would reset it.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Serves the requests on a connection until it ends.
+pub(crate) async fn serve(shared: Arc<Shared>, tcp: TcpStream) {
+    if let Err(e) = tcp.set_nodelay(true) {
+        log::debug!(event = "nodelay_failed", error:% = e; "could not set TCP_NODELAY on a caller's connection; closing it");
+        return;
+    }
+    let mut conn = CallerConn::new(&shared, tcp);
+    if let Err(e) = conn.serve_requests().await {
+        log::debug!(event = "caller_connection", error:% = e; "a caller's connection ended with an error");
+        return;
+    }
+    let mut tcp = conn.into_tcp();
+    // The caller may have closed the connection already.
+    let _ = tokio::time::timeout(LINGER_TIMEOUT, close_gracefully(&mut tcp)).await;
+}
+
+/// Closes the sending direction and discards what the caller still sends until it closes its own.
+async fn close_gracefully(tcp: &mut TcpStream) -> Result<(), Error> {
+    tcp.shutdown().await?;
+    let mut discarded = [0; 1_024];
+    while tcp.read(&mut discarded).await? > 0 {}
+    Ok(())
+}
+
+/// A connection, with what its requests wait for.
+struct CallerConn<'a> {
+    shared: &'a Arc<Shared>,
+    tcp: TcpStream,
+    conn: Conn,
+    /// The request whose body is being received.
+    body: Option<(RequestKey, mpsc::UnboundedSender<Result<Bytes, Code>>)>,
+    turns: SecondaryMap<RequestKey, oneshot::Sender<()>>,
+    account: Account<'a>,
+}
+
+impl<'a> CallerConn<'a> {
+    fn new(shared: &'a Arc<Shared>, tcp: TcpStream) -> CallerConn<'a> {
+        CallerConn {
+            shared,
+            tcp,
+            conn: Conn::new(limits(shared), shared.now()),
+            body: None,
+            turns: SecondaryMap::new(),
+            account: Account {
+                shared,
+                requests: 0,
+                bytes: 0,
+            },
+        }
+    }
+
+    fn into_tcp(self) -> TcpStream {
+        self.tcp
+    }
+
+    /// Reads requests and writes responses until the connection should be closed. Dropping the
+    /// future cancels the requests, as does a disconnect of the caller, which is an error.
+    async fn serve_requests(&mut self) -> Result<(), Error> {
+        let shared = self.shared;
+        let mut responses = FuturesUnordered::new();
+        let closing = shared.wait_for_phase(Phase::Closing);
+        let timer = tokio::time::sleep(Duration::ZERO);
+        tokio::pin!(closing, timer);
+        let mut is_closing = false;
+        loop {
+            let now = shared.now();
+            self.conn.set_limits(limits(shared));
+            while let Some(event) = self.conn.poll(now, shared.may_read_ahead()) {
+                if let Some((key, arrival)) = self.apply(event, now) {
+                    let response = entry::serve(shared.clone(), arrival);
+                    responses.push(async move { (key, response.await) });
+                }
+            }
+            self.write_output(now)?;
+            self.account
+                .update(self.conn.unanswered(), self.conn.held_bytes());
+            if self.conn.is_finished() {
+                return Ok(());
+            }
+            let wants_input = self.conn.wants_input();
+            let wake_at = self.conn.timeout_at().map(|at| at.since(now));
+            set_timer(timer.as_mut(), wake_at, wants_input);
+            tokio::select! {
+                Some((key, response)) = responses.next(), if !responses.is_empty() => {
+                    self.conn.respond(key, response);
+                }
+                ready = self.tcp.readable(), if wants_input => {
+                    ready?;
+                    self.read_input()?;
+                }
+                ready = self.tcp.writable(), if self.conn.output().is_some() => ready?,
+                () = &mut closing, if !is_closing => {
+                    is_closing = true;
+                    self.conn.close();
+                }
+                () = &mut timer => {
+                    self.conn.handle_timeout(shared.now());
+                    self.check_connected().await?;
+                }
+            }
+        }
+    }
+
+    /// Applies an event; returns the request that it begins.
+    fn apply(&mut self, event: Event, now: Time) -> Option<(RequestKey, Arrival)> {
+        match event {
+            Event::Head {
+                key,
+                head,
+                has_body,
+                is_next,
+            } => {
+                let body = has_body.then(|| {
+                    let (tx, rx) = mpsc::unbounded_channel();
+                    self.body = Some((key, tx));
+                    rx
+                });
+                let turn = (!is_next).then(|| {
+                    let (tx, rx) = oneshot::channel();
+                    self.turns.insert(key, tx);
+                    rx
+                });
+                let arrival = Arrival {
+                    head,
+                    arrived_at: now,
+                    body,
+                    turn,
+                };
+                return Some((key, arrival));
+            }
+            Event::Body { data, .. } => {
+                if let Some((_, parts)) = &self.body {
+                    // A request that has its response already needs no body.
+                    let _ = parts.send(Ok(data));
+                }
+            }
+            Event::BodyEnd { .. } => self.body = None,
+            Event::Next { key } => {
+                if let Some(turn) = self.turns.remove(key) {
+                    // A repeatable request does not wait for its turn.
+                    let _ = turn.send(());
+                }
+            }
+            Event::Invalid { key, error } => self.refuse_invalid(key, error, now),
+        }
+        None
+    }
+
+    /// Refuses a request that can't be read.
+    fn refuse_invalid(&mut self, key: RequestKey, error: ParseError, now: Time) {
+        let code = code_of(error);
+        match self.body.take() {
+            // Its task responds.
+            Some((reading, parts)) if reading == key => {
+                let _ = parts.send(Err(code));
+            }
+            _ => {
+                let response = entry::refusal_response(self.shared, code.into(), now, "");
+                self.conn.respond(key, response);
+            }
+        }
+    }
+
+    /// Appends the bytes that the socket has received to the input. Fails if the caller has
+    /// disconnected.
+    fn read_input(&mut self) -> Result<(), Error> {
+        let now = self.shared.now();
+        let input = self.conn.input();
+        let size = if self.body.is_some() || !input.is_empty() {
+            READ_BYTES
+        } else {
+            INITIAL_READ_BYTES
+        };
+        match read_available(&self.tcp, input, size)? {
+            0 => {}
+            _ => self.conn.record_activity(now),
+        }
+        Ok(())
+    }
+
+    /// Writes output until the socket takes no more.
+    fn write_output(&mut self, now: Time) -> Result<(), Error> {
+        while let Some(bytes) = self.conn.output() {
+            match self.tcp.try_write(bytes) {
+                Ok(len) => self.conn.record_written(now, len),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    /// Fails if the caller has disconnected, also while nothing is read from it.
+    async fn check_connected(&self) -> Result<(), Error> {
+        if self.conn.wants_input() {
+            return Ok(());
+        }
+        let ready = self
+            .tcp
+            .ready(Interest::READABLE | Interest::WRITABLE)
+            .await?;
+        if ready.is_read_closed() {
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+        Ok(())
+    }
+}
+
+/// Reads up to `size` bytes into `input` if the socket has any. Returns how many were read.
+fn read_available(tcp: &TcpStream, input: &mut BytesMut, size: usize) -> Result<usize, Error> {
+    input.reserve(size);
+    match tcp.try_read_buf(input) {
+        Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
+        Ok(len) => Ok(len),
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(0),
+        Err(e) => Err(e),
+    }
+}
+
+/// Sets the timer to `wake_at`, or the next check for a disconnect, if that is earlier.
+fn set_timer(timer: std::pin::Pin<&mut Sleep>, wake_at: Option<Duration>, wants_input: bool) {
+    let poll = (!wants_input).then_some(DISCONNECT_POLL_INTERVAL);
+    let far = Duration::from_secs(3_600);
+    let wait = wake_at.into_iter().chain(poll).min().unwrap_or(far);
+    timer.reset(Instant::now() + wait);
+}
+
+/// Returns the limits in force.
+fn limits(shared: &Shared) -> Limits {
+    let limits = shared
+        .versions
+        .table()
+        .map(|t| t.limits())
+        .unwrap_or_default();
+    Limits {
+        header_bytes: limits.header_bytes,
+        body_bytes: limits.body_bytes,
+        header_timeout: limits.header_timeout,
+        idle_timeout: limits.idle_timeout,
+        read_ahead: shared.settings.bounds.read_ahead,
+    }
+}
+
+fn code_of(error: ParseError) -> Code {
+    match error {
+        ParseError::Head | ParseError::Body => Code::BadHeader,
+        ParseError::HeadTooLarge => Code::HeadTooLarge,
+        ParseError::HeadTimeout => Code::HeadTimeout,
+        ParseError::BodyTooLarge => Code::BodyTooLarge,
+    }
+}
+
+/// The part of a connection in the node's counters; on drop it no longer counts.
+struct Account<'a> {
+    shared: &'a Shared,
+    requests: usize,
+    bytes: usize,
+}
+
+impl Account<'_> {
+    /// Sets the number of requests without a completely written response, and the bytes of
+    /// responses that the connection holds.
+    fn update(&mut self, requests: usize, bytes: usize) {
+        let (in_progress, held) = (
+            &self.shared.requests_in_progress,
+            &self.shared.held_body_bytes,
+        );
+        // Wrapping subtraction makes one addition of a difference of either sign.
+        in_progress.fetch_add(requests.wrapping_sub(self.requests), Ordering::Relaxed);
+        held.fetch_add(bytes.wrapping_sub(self.bytes), Ordering::Relaxed);
+        (self.requests, self.bytes) = (requests, bytes);
+    }
+}
+
+impl Drop for Account<'_> {
+    fn drop(&mut self) {
+        self.update(0, 0);
+    }
+}
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use config::{RoutedRoute, Routing};
-use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use config::RoutedRoute;
+use http::{HeaderValue, Response, StatusCode, header};
+use http1::RequestHead;
 use ops::Metric;
+use tokio::sync::{mpsc, oneshot};
 use wire::{Code, Executed, Fingerprint, Refusal, ServiceName, Time};
 
 use crate::attempts::{self, FinalOutcome};
@@ -43,15 +43,28 @@
     pub(crate) call: Call,
 }
 
+/// A request whose head has arrived.
+#[derive(Debug)]
+pub(crate) struct Arrival {
+    pub(crate) head: RequestHead,
+    pub(crate) arrived_at: Time,
+    /// Parts of the body, or the reason why it can't be read; `None` if there is no body.
+    pub(crate) body: Option<mpsc::UnboundedReceiver<Result<Bytes, Code>>>,
+    /// Resolves once all earlier requests on the connection have a response; `None` if they had
+    /// when this one arrived.
+    pub(crate) turn: Option<oneshot::Receiver<()>>,
+}
+
 /// Serves one request.
-pub(crate) async fn serve(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Full<Bytes>> {
-    let arrived_at = shared.now();
+pub(crate) async fn serve(shared: Arc<Shared>, arrival: Arrival) -> Response<Bytes> {
+    let arrived_at = arrival.arrived_at;
     shared.metrics.count(Metric::EntryRequests);
-    let id = names::visible_ascii(req.headers(), &shared.settings.header_names.request_id)
+    let header_names = &shared.settings.header_names;
+    let id = names::visible_ascii(&arrival.head.headers, &header_names.request_id)
         .unwrap_or_default()
         .to_owned();
-    let mut guard = InProgressGuard::new(&shared, &id, arrived_at);
-    let response = match accept(&shared, req, arrived_at, &id).await {
+    let mut guard = DisconnectGuard::new(&shared, &id, arrived_at);
+    let response = match accept(&shared, arrival, &id).await {
         Ok(pending) => {
             guard.service = Some(pending.call.service.clone());
             let final_outcome = attempts::run(&shared, &pending).await;
@@ -66,9 +79,9 @@
     response
 }
 
-/// Counts a request as in progress until the guard is dropped. If the guard is dropped before
-/// `is_answered` is set, the caller has disconnected, and the guard logs and counts that.
-struct InProgressGuard<'a> {
+/// Guards a request that has no response. If the guard is dropped before `is_answered` is set, the
+/// caller has disconnected, and the guard logs and counts that.
+struct DisconnectGuard<'a> {
     shared: &'a Shared,
     id: &'a str,
     arrived_at: Time,
@@ -76,10 +89,9 @@
     is_answered: bool,
 }
 
-impl<'a> InProgressGuard<'a> {
-    fn new(shared: &'a Shared, id: &'a str, arrived_at: Time) -> InProgressGuard<'a> {
-        shared.requests_in_progress.fetch_add(1, Ordering::Relaxed);
-        InProgressGuard {
+impl<'a> DisconnectGuard<'a> {
+    fn new(shared: &'a Shared, id: &'a str, arrived_at: Time) -> DisconnectGuard<'a> {
+        DisconnectGuard {
             shared,
             id,
             arrived_at,
@@ -89,11 +101,8 @@
     }
 }
 
-impl Drop for InProgressGuard<'_> {
+impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
-        self.shared
-            .requests_in_progress
-            .fetch_sub(1, Ordering::Relaxed);
         if !self.is_answered {
             self.shared.metrics.count(Metric::Cancelled);
             let ms = self.shared.now().since(self.arrived_at).as_millis() as u64;
@@ -104,27 +113,27 @@
 
 /// Selects the route and the service of a request and reads its body; refuses the request if the
 /// node takes none, no route matches, the body is too large or the request is quarantined.
-async fn accept(
-    shared: &Shared,
-    req: Request<Incoming>,
-    arrived_at: Time,
-    id: &str,
-) -> Result<Pending, Refusal> {
+async fn accept(shared: &Shared, arrival: Arrival, id: &str) -> Result<Pending, Refusal> {
     if shared.phase() >= Phase::Refusing {
         return Err(Code::Draining.into());
     }
     let table = shared.versions.table().ok_or(Code::NotReady)?;
-    let (parts, body) = req.into_parts();
-    let host = parts
+    let Arrival {
+        head,
+        arrived_at,
+        body,
+        turn,
+    } = arrival;
+    let host = head
         .headers
         .get(header::HOST)
         .and_then(|h| h.to_str().ok())
-        .or_else(|| parts.uri.authority().map(|a| a.as_str()))
+        .or_else(|| head.uri.authority().map(|a| a.as_str()))
         .unwrap_or_default();
-    let route = table.find(host, parts.uri.path()).ok_or(Code::NoRoute)?;
+    let route = table.find(host, head.uri.path()).ok_or(Code::NoRoute)?;
     let service = choose_service(shared, route).ok_or(Code::NoRoute)?;
     let header_names = &shared.settings.header_names;
-    let caller_timeout = names::parse_millis(&parts.headers, &header_names.remaining_ms)
+    let caller_timeout = names::parse_millis(&head.headers, &header_names.remaining_ms)
         .map(|ms| Duration::from_secs_f64(ms / 1_000.0));
     let deadline = arrived_at + effective_timeout(caller_timeout, route.timeout);
     let age = caller_timeout.map_or(Duration::ZERO, |remaining| {
@@ -136,7 +145,7 @@
     let objective = route.objective.unwrap_or(DEFAULT_TIMEOUT);
     let due = arrived_at + objective.saturating_sub(age);
     let mut headers = names::end_to_end(
-        &parts.headers,
+        &head.headers,
         &[
             &header_names.remaining_ms,
             &header_names.expected_target,
@@ -149,22 +158,32 @@
         Bytes::copy_from_slice(caller.0.as_bytes()),
     ));
     let remaining = deadline.since(shared.now());
-    let body = tokio::time::timeout(remaining, read_body(shared, &table, body))
+    let is_repeatable = beside::is_repeatable(route.repeat);
+    let received = async {
+        let body = read_body(shared, body).await?;
+        // After a response that closes the connection, the caller sends again what it has sent
+        // behind that request. Only a repeatable one may have run by then.
+        if !is_repeatable {
+            wait_for_turn(turn).await;
+        }
+        Ok::<_, Refusal>(body)
+    };
+    let body = tokio::time::timeout(remaining, received)
         .await
         .map_err(|_| Code::DeadlinePassed)??;
-    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let call = Call {
         service,
         route: Fingerprint::of(&[route.name.as_bytes()]).0,
         priority: route.priority,
         due_ms: 0,
         remaining_ms: 0,
-        is_repeatable: beside::is_repeatable(route.repeat),
+        is_repeatable,
         is_last_resort: false,
         max_wait_ms: None,
         sent_us: 0,
         request_id: id.to_owned(),
-        method: parts.method.as_str().to_owned(),
+        method: head.method.as_str().to_owned(),
         path: path.to_owned(),
         headers,
         body,
@@ -201,28 +220,26 @@
     }
 }
 
+async fn wait_for_turn(turn: Option<oneshot::Receiver<()>>) {
+    if let Some(turn) = turn {
+        // The connection keeps the sender until it is the request's turn.
+        let _ = turn.await;
+    }
+}
+
 /// Buffers the whole body, so that the request can be sent to a second target. The size is bounded
-/// by the routing table's limit and the node's memory for bodies.
-async fn read_body(shared: &Shared, table: &Routing, body: Incoming) -> Result<Bytes, Refusal> {
-    if body.is_end_stream() {
+/// by the routing table's limit, which the connection applies, and the node's memory for bodies.
+async fn read_body(
+    shared: &Shared,
+    body: Option<mpsc::UnboundedReceiver<Result<Bytes, Code>>>,
+) -> Result<Bytes, Refusal> {
+    let Some(mut parts) = body else {
         return Ok(Bytes::new());
-    }
-    let max_bytes = table.limits().body_bytes;
-    let declared_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if declared_bytes > max_bytes {
-        return Err(Code::BodyTooLarge.into());
-    }
+    };
     let mut memory = BodyMemory::new(shared);
-    let mut buf =
-        BytesMut::with_capacity(declared_bytes.min(shared.settings.bounds.memory_bytes / 64));
-    let mut body = body;
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| Code::BadHeader)?.into_data() else {
-            continue;
-        };
-        if buf.len() + data.len() > max_bytes {
-            return Err(Code::BodyTooLarge.into());
-        }
+    let mut buf = BytesMut::new();
+    while let Some(part) = parts.recv().await {
+        let data = part?;
         memory.add(data.len())?;
         buf.extend_from_slice(&data);
     }
@@ -268,7 +285,7 @@
     pending: &Pending,
     final_outcome: FinalOutcome,
     id: &str,
-) -> Response<Full<Bytes>> {
+) -> Response<Bytes> {
     let ms = shared.now().since(pending.arrived_at).as_millis() as u64;
     let route = &*pending.route.name;
     let service = &*pending.call.service.0;
@@ -317,20 +334,20 @@
     (max_wait >= MIN_RETRY_AFTER).then(|| wait.min(max_wait))
 }
 
-fn forwarded_response(answer: &Answer) -> Response<Full<Bytes>> {
-    let mut res = Response::new(Full::new(answer.body.clone()));
+fn forwarded_response(answer: &Answer) -> Response<Bytes> {
+    let mut res = Response::new(answer.body.clone());
     // The target-side node parsed the status with its HTTP library, so it is in range.
     *res.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     *res.headers_mut() = names::to_header_map(&answer.headers);
     res
 }
 
-fn refusal_response(
+pub(crate) fn refusal_response(
     shared: &Shared,
     refusal: Refusal,
     arrived_at: Time,
     id: &str,
-) -> Response<Full<Bytes>> {
+) -> Response<Bytes> {
     let ms = shared.now().since(arrived_at).as_millis() as u64;
     let version = shared.versions.number();
     log::info!(
@@ -347,7 +364,7 @@
     refusal: Refusal,
     maybe_ran: bool,
     id: &str,
-) -> Response<Full<Bytes>> {
+) -> Response<Bytes> {
     let status = status_of(refusal.code, maybe_ran);
     let executed = if maybe_ran {
         Executed::Unknown
@@ -364,7 +381,7 @@
         refusal.code.title(),
         executed.as_str()
     );
-    let mut res = Response::new(Full::new(body.into()));
+    let mut res = Response::new(Bytes::from(body));
     *res.status_mut() = status;
     let headers = res.headers_mut();
     headers.insert(
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,7 +4,7 @@
 //! at most once without a record in a log. Requests reach a target only through its target-side
 //! node, which decides on slots, queue order and draining.
 //!
-//! - `listen`, `entry`, `attempts`, `remote`: the entry side, from the arrival of a caller's
+//! - `listen`, `caller`, `entry`, `attempts`, `remote`: the entry side, from the arrival of a caller's
 //!   request to the attempts at single instances.
 //! - `beside`, `upstream`, `health`: the target side.
 //! - `link`, `message`, `peers`, `transfer`: connections to other nodes.
@@ -13,6 +13,7 @@
 
 mod attempts;
 mod beside;
+mod caller;
 mod clock;
 mod entry;
 mod health;
@@ -33,6 +34,7 @@
 mod versions;
 
 pub use clock::Clock;
+pub use http1::{ReadAhead, ReadAheadError};
 pub use names::HeaderNames;
 pub use node::{Handle, Node, StartError};
 pub use settings::{Bounds, LogSource, Settings, TargetSettings};
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http1::ReadAhead;
 use plat::KeyedLog;
 use wire::{Domain, ServiceName};
 
@@ -43,7 +44,7 @@
     pub addr: SocketAddr,
 }
 
-/// Grace period, retry budget and memory limit, as set by the operators.
+/// Grace period, retry budget and limits on memory and read-ahead, as set by the operators.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     /// Grace period of a shutdown: the time between SIGTERM and SIGKILL.
@@ -56,6 +57,8 @@
     pub retry_slack: f64,
     /// Memory that the process may use, in bytes.
     pub memory_bytes: usize,
+    /// How far requests that callers pipeline are read ahead, for each connection.
+    pub read_ahead: ReadAhead,
 }
 
 /// The log from which a node reads versions of the routing table and the addresses of the nodes.
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -109,13 +109,13 @@
     pub(crate) tasks: TaskTracker,
     /// Sequence number of the last status.
     sequence: AtomicU64,
-    /// Bytes of all bodies that are being read or staged.
+    /// Bytes of all bodies that are being read or staged, and of responses that are not written.
     pub(crate) held_body_bytes: Arc<AtomicUsize>,
     /// Bodies that peers have announced and whose requests have not started.
     pub(crate) uploads: Arc<Uploads>,
     /// Number of the next body upload to a peer.
     transfers: AtomicU64,
-    /// Requests of callers whose response is not ready.
+    /// Requests of callers whose response is not completely written.
     pub(crate) requests_in_progress: AtomicUsize,
 }
 
@@ -194,6 +194,11 @@
         self.settings.bounds.memory_bytes / BODY_MEMORY_DIVISOR
     }
 
+    /// Returns whether there is memory for requests that wait for earlier ones of their caller.
+    pub(crate) fn may_read_ahead(&self) -> bool {
+        self.held_body_bytes.load(Ordering::Relaxed) < self.max_held_body_bytes() / 2
+    }
+
     pub(crate) fn now(&self) -> Time {
         self.clock.now()
     }
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -12,7 +12,7 @@
 use fakes::{FakeKeyedLog, ReceivedRequest, Script, ScriptedTarget, Step};
 use member::{TargetIncarnation, TargetReport, TargetState};
 use ops::Metrics;
-use proxy::{Bounds, HeaderNames, LogSource, Node, Settings, TargetSettings};
+use proxy::{Bounds, HeaderNames, LogSource, Node, ReadAhead, Settings, TargetSettings};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use wire::UnixMillis;
@@ -137,6 +137,7 @@
                 retry_window: Duration::from_secs(10),
                 retry_slack: 60.0,
                 memory_bytes: 256 << 20,
+                read_ahead: ReadAhead::default(),
             },
             source: LogSource {
                 log: Arc::new(log.clone()),
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -83,6 +83,10 @@
     Quarantined = 108, Some(422), NO, "quarantined request";
     /// The request's body exceeds the size limit.
     BodyTooLarge = 109, Some(413), NO, "body too large";
+    /// The head of a request did not arrive in time.
+    HeadTimeout = 110, Some(408), NO, "request head not received in time";
+    /// The head of a request exceeds the size limit.
+    HeadTooLarge = 111, Some(431), NO, "request head too large";
     /// The target's queue is full.
     QueueFull = 201, Some(429), NO, "queue full";
     /// The request can't start before its deadline.
