Read and set timers less often on a caller's connection

Cause: try_read_buf does not end at a short read, so each request took a second call that found nothing, and the timer was reset in each round of the loop.

--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use futures_util::{FutureExt, StreamExt};
 use http1::{Conn, Event, Limits, ParseError, RequestKey};
 use slotmap::SecondaryMap;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
@@ -26,6 +26,8 @@
 const INITIAL_READ_BYTES: usize = 2 << 10;
 /// Interval between checks whether the caller has disconnected while nothing is read from it.
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest time between two checks of the connection's timeouts.
+const MAX_SLEEP: Duration = Duration::from_secs(60);
 /// Time in which a caller may read the last response. If the connection were closed at once, bytes
 /// that the caller is still sending would reset it.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -203,7 +205,7 @@
         } else {
             INITIAL_READ_BYTES
         };
-        match read_available(&self.tcp, input, size)? {
+        match read_available(&mut self.tcp, input, size)? {
             0 => {}
             _ => self.conn.record_activity(now),
         }
@@ -239,22 +241,25 @@
 }
 
 /// Reads up to `size` bytes into `input` if the socket has any. Returns how many were read.
-fn read_available(tcp: &TcpStream, input: &mut BytesMut, size: usize) -> Result<usize, Error> {
+fn read_available(tcp: &mut TcpStream, input: &mut BytesMut, size: usize) -> Result<usize, Error> {
     input.reserve(size);
-    match tcp.try_read_buf(input) {
-        Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
-        Ok(len) => Ok(len),
-        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(0),
-        Err(e) => Err(e),
+    // Unlike `try_read_buf`, this needs no second call to find that a short read took all bytes.
+    match tcp.read_buf(input).now_or_never() {
+        None => Ok(0),
+        Some(Ok(0)) => Err(ErrorKind::UnexpectedEof.into()),
+        Some(result) => result,
     }
 }
 
-/// Sets the timer to `wake_at`, or the next check for a disconnect, if that is earlier.
+/// Sets the timer to `wake_at`, or the next check for a disconnect, if that is earlier. A timer that
+/// ends too early is left as it is, since most deadlines are moved long before they are due.
 fn set_timer(timer: std::pin::Pin<&mut Sleep>, wake_at: Option<Duration>, wants_input: bool) {
     let poll = (!wants_input).then_some(DISCONNECT_POLL_INTERVAL);
-    let far = Duration::from_secs(3_600);
-    let wait = wake_at.into_iter().chain(poll).min().unwrap_or(far);
-    timer.reset(Instant::now() + wait);
+    let wait = wake_at.into_iter().chain(poll).min().unwrap_or(MAX_SLEEP);
+    let deadline = Instant::now() + wait;
+    if timer.is_elapsed() || deadline < timer.deadline() {
+        timer.reset(deadline);
+    }
 }
 
 /// Returns the limits in force.
