Keep requests in their failure domain until they would be late

Requests crossed to save a few milliseconds, which are worth nothing before the end of the objective, and a node isn't told the tariff. Change: the cost of crossing with a small body is 1 objective a kilobyte, at most 2, below that of a late response; further kilobytes cost 0.04.

--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -23,15 +23,20 @@
 /// Lower bound of that time constant, in seconds, since reports take some milliseconds to arrive.
 /// Also the lower bound of the service time by which [`sample`] weights an instance.
 const MIN_REPORT_LIFETIME_S: f64 = 0.02;
-/// Cost of a kilobyte that crosses failure domains, as a share of the objective. The tariff takes
-/// 1% of the mean value of a request per kilobyte. A wait of some share of the objective costs only
-/// about a fifth of that share of the value, since most requests that wait still meet the
-/// objective; hence the factor of 5.
-const CROSS_DOMAIN_COST_PER_KB: f64 = 0.01 * 5.0;
+/// Cost of a kilobyte that crosses failure domains, as a share of the objective, for the bytes up to
+/// `MAX_SMALL_CROSSING_COST`. A wait that ends within the objective costs callers nothing, so a request
+/// leaves its domain only if it would be late there, whatever the tariff for bytes is.
+const CROSS_DOMAIN_COST_PER_KB: f64 = 1.0;
+/// Cost of crossing failure domains with a small body, at most, in objectives. It is less than that
+/// of a missed objective.
+const MAX_SMALL_CROSSING_COST: f64 = 2.0;
+/// Cost of each further kilobyte: the share of a request's mean value that the lowest tariff takes,
+/// on the scale of `MISSED_OBJECTIVE_COST`.
+const FURTHER_COST_PER_KB: f64 = 0.04;
 /// Cost of a response that is expected after the objective, in objectives. Such a response loses
-/// 0.5 to 0.7 of its value; the factor of 5 is that of `CROSS_DOMAIN_COST_PER_KB`.
-const MISSED_OBJECTIVE_COST: f64 = 0.6 * 5.0;
-/// Lower bound of the objective from which the cost of bytes is derived. Calls made by running
+/// most of its value, and a wait of one objective costs a fifth of the value.
+const MISSED_OBJECTIVE_COST: f64 = 3.0;
+/// Lower bound of the objective from which costs are derived. Calls made by running
 /// requests have shorter objectives, but a whole request depends on each of them.
 const MIN_OBJECTIVE: Duration = Duration::from_millis(400);
 /// Bytes of headers and framing of a request and its response, without the bodies.
@@ -144,7 +149,7 @@
     let time_to_response = service + wait + transit;
     let late_cost =
         if time_to_response > profile.remaining.as_secs_f64() && !profile.remaining.is_zero() {
-            MISSED_OBJECTIVE_COST * profile.objective.as_secs_f64()
+            MISSED_OBJECTIVE_COST * priced_objective(profile)
         } else {
             0.0
         };
@@ -266,8 +271,14 @@
 
 fn cross_domain_cost(profile: &RequestProfile) -> f64 {
     let bytes = profile.body_bytes + profile.response_bytes + FRAMING_BYTES;
-    let objective = profile.objective.max(MIN_OBJECTIVE);
-    CROSS_DOMAIN_COST_PER_KB * objective.as_secs_f64() * kilobytes(bytes)
+    let objectives = (CROSS_DOMAIN_COST_PER_KB * kilobytes(bytes))
+        .min(MAX_SMALL_CROSSING_COST + FURTHER_COST_PER_KB * kilobytes(bytes));
+    objectives * priced_objective(profile)
+}
+
+/// Returns the objective in seconds from which the costs of bytes and of lateness are derived.
+fn priced_objective(profile: &RequestProfile) -> f64 {
+    profile.objective.max(MIN_OBJECTIVE).as_secs_f64()
 }
 
 fn kilobytes(bytes: usize) -> f64 {
