Expect a request to take as long as others of its route

Cause: the service time of an instance is the mean over all its routes. A call of 15 ms with an objective of 60 ms counted as late at each instance that also runs requests of 78 ms, but not at one that is a little faster, often in another domain. Change: the mean service time of each route scales that of the instances. Failed first: with the scale fixed at 1, as before, the call of a_short_request_is_not_expected_late_at_an_instance_with_long_ones crosses domains. The test of mean response sizes covers both averages now.

--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -7,7 +7,7 @@
 use ops::Metric;
 use route::{
     Candidate, RequestProfile, choose_instance, has_free_slot, max_wait_before_reroute, mean_load,
-    time_to_free_slot,
+    relative_service, time_to_free_slot,
 };
 use wire::{Code, Refusal, Time};
 
@@ -130,7 +130,7 @@
         let chosen = choose_instance(
             &mut *shared.rng.lock(),
             &eligible,
-            &placement_input(shared, pending, now),
+            &request_profile(shared, pending, now, &eligible),
         );
         progress.loads = format_loads(&eligible);
         let Some(chosen) = chosen else {
@@ -165,12 +165,20 @@
     }
 }
 
-fn placement_input(shared: &Shared, pending: &Pending, now: Time) -> RequestProfile {
+fn request_profile(
+    shared: &Shared,
+    pending: &Pending,
+    now: Time,
+    candidates: &[Candidate<Destination>],
+) -> RequestProfile {
+    let averages = shared.route_averages.lock();
+    let service = averages.mean_service(&pending.route.name);
     RequestProfile {
         objective: pending.route.objective.unwrap_or(DEFAULT_OBJECTIVE),
         remaining: pending.due.since(now),
         body_bytes: pending.call.body.len(),
-        response_bytes: shared.response_sizes.lock().mean_bytes(&pending.route.name),
+        response_bytes: averages.mean_bytes(&pending.route.name),
+        relative_service: service.map_or(1.0, |s| relative_service(candidates, s)),
     }
 }
 
@@ -300,8 +308,8 @@
         })
         .copied()
         .collect();
-    let placement_input = placement_input(shared, pending, shared.now());
-    let hedge = choose_instance(&mut *shared.rng.lock(), &free, &placement_input)?;
+    let profile = request_profile(shared, pending, shared.now(), eligible);
+    let hedge = choose_instance(&mut *shared.rng.lock(), &free, &profile)?;
     shared
         .try_spend_retry(shared.now(), &pending.call.service)
         .then_some(hedge)
@@ -320,10 +328,12 @@
     match outcome {
         Outcome::Answer(answer) => {
             progress.sends += 1;
-            let mut sizes = shared.response_sizes.lock();
-            sizes.record(&pending.route.name, answer.body.len());
-            drop(sizes);
             let is_failure = answer.status >= 500;
+            if !is_failure {
+                let service = Duration::from_millis(progress.times.target_ms.into());
+                let mut averages = shared.route_averages.lock();
+                averages.record(&pending.route.name, answer.body.len(), service);
+            }
             if is_failure && pending.call.is_repeatable && progress.may_send_again(shared, pending)
             {
                 progress.maybe_ran = true;
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -11,7 +11,7 @@
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use route::{AttemptAges, Budget, BudgetCfg, Quarantine, QuarantineCfg, ResponseSizes, Splitter};
+use route::{AttemptAges, Budget, BudgetCfg, Quarantine, QuarantineCfg, RouteAverages, Splitter};
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::task::TaskTracker;
@@ -84,7 +84,7 @@
     pub(crate) upstream: Upstream,
     pub(crate) splitter: Mutex<Splitter>,
     pub(crate) attempt_ages: Mutex<AttemptAges>,
-    pub(crate) response_sizes: Mutex<ResponseSizes>,
+    pub(crate) route_averages: Mutex<RouteAverages>,
     budgets: Mutex<Budgets>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) rng: Mutex<SmallRng>,
@@ -160,7 +160,7 @@
             upstream: Upstream::new(settings.target.addr),
             splitter: Mutex::default(),
             attempt_ages: Mutex::default(),
-            response_sizes: Mutex::default(),
+            route_averages: Mutex::default(),
             budgets: Mutex::default(),
             quarantine: Mutex::new(Quarantine::new(QuarantineCfg::default())),
             rng: Mutex::new(rng),
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -298,7 +298,7 @@
             .lock()
             .retain(|name| names.contains(name));
         shared
-            .response_sizes
+            .route_averages
             .lock()
             .retain(|name| names.contains(name));
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,8 +17,8 @@
 mod placement;
 mod quantiles;
 mod quarantine;
-mod response_size;
 mod retry;
+mod route_average;
 mod route_latency;
 mod spillover;
 mod split;
@@ -34,12 +34,12 @@
 pub use picker::{Picker, PickerCfg, PickerStats};
 pub use placement::{
     Candidate, RequestProfile, TransitTime, choose_instance, cost, has_free_slot,
-    max_wait_before_reroute, mean_load, time_to_free_slot,
+    max_wait_before_reroute, mean_load, relative_service, time_to_free_slot,
 };
 pub use quantiles::Quantiles;
 pub use quarantine::{Quarantine, QuarantineCfg, Strike};
-pub use response_size::ResponseSizes;
 pub use retry::{Attempts, Denial, Failure, MAX_ATTEMPTS, RetryBudget, costs_token};
+pub use route_average::RouteAverages;
 pub use split::Splitter;
 pub use transit_delay::TransitDelay;
 pub use view::{InstanceView, Outcome, OutcomeKind, Pick, PickRequest, RouteKey, State, Ticket};
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -58,7 +58,7 @@
 const MAX_ADVISED_WAIT: Duration = Duration::from_secs(5);
 
 /// What the placement of a request depends on: its latency objective, and the bytes it transfers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RequestProfile {
     /// Time within which a response has its full value.
     pub objective: Duration,
@@ -68,6 +68,8 @@
     pub body_bytes: usize,
     /// Mean size of a response's body on this route in bytes; 0 if unknown.
     pub response_bytes: usize,
+    /// Service time on this route relative to that of all requests of the service; 1 if unknown.
+    pub relative_service: f64,
 }
 
 /// State of an instance as the entry node knows it.
@@ -133,10 +135,13 @@
 pub fn cost<K>(c: &Candidate<K>, mean_load: f64, profile: &RequestProfile) -> Duration {
     let slots = f64::from(c.reported_load.slots.max(1));
     let expected_requests = expected_requests(c, mean_load);
-    let service = c.service_time.as_secs_f64();
+    // The requests before this one take the mean time of the instance.
+    let mean_service = c.service_time.as_secs_f64();
+    let service = mean_service * profile.relative_service;
     let waiting = (expected_requests + 1.0 - slots).max(0.0);
-    let wait = waiting * service / slots;
-    let full_penalty = FULL_PENALTY_SERVICE_TIMES * service * (expected_requests / slots).min(1.0);
+    let wait = waiting * mean_service / slots;
+    let full_penalty =
+        FULL_PENALTY_SERVICE_TIMES * mean_service * (expected_requests / slots).min(1.0);
     let cross_domain = if c.is_local {
         0.0
     } else {
@@ -194,6 +199,16 @@
     f64::from(sum(|l| l.in_flight + l.queued)) / f64::from(sum(|l| l.slots).max(1))
 }
 
+/// Returns the mean service time of a route's requests relative to that of all requests on the
+/// instances; 1 if there are none.
+pub fn relative_service<K>(candidates: &[Candidate<K>], route_service: Duration) -> f64 {
+    let total: Duration = candidates.iter().map(|c| c.service_time).sum();
+    if total.is_zero() {
+        return 1.0;
+    }
+    route_service.as_secs_f64() * candidates.len() as f64 / total.as_secs_f64()
+}
+
 /// Returns the key of the instance of least cost among a sample. Unresponsive instances come last;
 /// instances without slots are excluded. Returns `None` if no instance has slots.
 pub fn choose_instance<K: Copy>(
--- a/crates/route/tests/domains.rs
+++ b/crates/route/tests/domains.rs
@@ -117,6 +117,7 @@
         body_bytes: 0,
         // The framing is added to the bodies.
         response_bytes: (KILOBYTES * 1_000.0) as usize - 600,
+        relative_service: 1.0,
     };
     choose_instance(rng, candidates, &profile).expect("all instances have slots")
 }
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -6,8 +6,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use route::{
-    Candidate, RequestProfile, ResponseSizes, Splitter, TransitTime, choose_instance, cost,
-    has_free_slot, max_wait_before_reroute, mean_load, time_to_free_slot,
+    Candidate, RequestProfile, RouteAverages, Splitter, TransitTime, choose_instance, cost,
+    has_free_slot, max_wait_before_reroute, mean_load, relative_service, time_to_free_slot,
 };
 use wire::{Load, ServiceName};
 
@@ -43,6 +43,7 @@
         remaining: Duration::from_millis(400),
         body_bytes,
         response_bytes: 0,
+        relative_service: 1.0,
     }
 }
 
@@ -233,6 +234,7 @@
             remaining: objective,
             body_bytes: 0,
             response_bytes,
+            relative_service: 1.0,
         }
     };
     let choose =
@@ -251,18 +253,46 @@
     assert_eq!(choose(&late), Some(1));
 }
 
-/// Guards against a mean response size that isn't tracked, or is retained after its route is
-/// removed.
+/// Guards against calls that cross failure domains, or are hedged at a faster instance, as if they
+/// took as long as the other requests of the service.
 #[test]
-fn mean_response_size_is_tracked_per_route() {
+fn a_short_request_is_not_expected_late_at_an_instance_with_long_ones() {
+    // Both run long requests; the remote instance is a little faster.
+    let local = candidate(1, 2, 0);
+    let remote = Candidate {
+        is_local: false,
+        service_time: Duration::from_millis(50),
+        ..candidate(2, 2, 0)
+    };
+    let candidates = [local, remote];
+    let relative_service = relative_service(&candidates, Duration::from_millis(15));
+    assert_eq!(relative_service, 0.2);
+    let profile = |relative_service| RequestProfile {
+        objective: Duration::from_millis(60),
+        remaining: Duration::from_millis(60),
+        relative_service,
+        ..profile(0)
+    };
+    let choose = |p| choose_instance(&mut SmallRng::seed_from_u64(1), &candidates, &p);
+    assert_eq!(choose(profile(1.0)), Some(2));
+    assert_eq!(choose(profile(relative_service)), Some(1));
+}
+
+/// Guards against averages that aren't tracked, or are retained after their route is removed.
+#[test]
+fn averages_are_tracked_per_route() {
     let (a, b): (Arc<str>, Arc<str>) = ("a".into(), "b".into());
-    let mut sizes = ResponseSizes::default();
-    assert_eq!(sizes.mean_bytes("a"), 0);
+    let mut averages = RouteAverages::default();
+    assert_eq!(averages.mean_bytes("a"), 0);
+    assert_eq!(averages.mean_service("a"), None);
     for _ in 0..100 {
-        sizes.record(&a, 1_500);
-        sizes.record(&b, 90);
+        averages.record(&a, 1_500, Duration::from_millis(80));
+        averages.record(&b, 90, Duration::from_millis(10));
     }
-    assert_eq!((sizes.mean_bytes("a"), sizes.mean_bytes("b")), (1_500, 90));
-    sizes.retain(|name| name == "a");
-    assert_eq!((sizes.mean_bytes("a"), sizes.mean_bytes("b")), (1_500, 0));
+    let bytes = |averages: &RouteAverages| (averages.mean_bytes("a"), averages.mean_bytes("b"));
+    assert_eq!(bytes(&averages), (1_500, 90));
+    assert_eq!(averages.mean_service("a"), Some(Duration::from_millis(80)));
+    averages.retain(|name| name == "a");
+    assert_eq!(bytes(&averages), (1_500, 0));
+    assert_eq!(averages.mean_service("b"), None);
 }
