--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -52,6 +52,9 @@
 /// Largest rate of the periodic status calls of a node to all its peers; in larger meshes each peer
 /// gets them less often.
 const STATUS_CALLS_PER_S: f64 = 12.0;
+/// Factor on the time between status calls to peers in other failure domains. They serve few requests
+/// of this node, and requests show sooner than status calls that a peer does not reply.
+const FAR_INTERVAL_FACTOR: u32 = 4;
 /// Longest time between status calls to a peer; in very large meshes it takes precedence over
 /// `STATUS_CALLS_PER_S`.
 const MAX_STATUS_INTERVAL: Duration = Duration::from_secs(10);
@@ -329,8 +332,9 @@
         return "unknown";
     };
     loop {
+        let interval = status_interval(shared, key);
         tokio::select! {
-            is_running = sleep_unless_stopped(shared, status_interval(shared)) => if !is_running {
+            is_running = sleep_unless_stopped(shared, interval) => if !is_running {
                 return "the node stops";
             },
             () = suspicion.notified() => {}
@@ -355,9 +359,15 @@
     }
 }
 
-fn status_interval(shared: &Shared) -> Duration {
-    let nodes = shared.peers.lock().len() as f64;
-    Duration::from_secs_f64(nodes / STATUS_CALLS_PER_S).clamp(STATUS_INTERVAL, MAX_STATUS_INTERVAL)
+fn status_interval(shared: &Shared, key: PeerKey) -> Duration {
+    let peers = shared.peers.lock();
+    let interval = Duration::from_secs_f64(peers.len() as f64 / STATUS_CALLS_PER_S);
+    let interval = interval.max(STATUS_INTERVAL);
+    let is_far = peers
+        .domain(key)
+        .is_some_and(|d| *d != shared.settings.domain);
+    let factor = if is_far { FAR_INTERVAL_FACTOR } else { 1 };
+    (interval * factor).min(MAX_STATUS_INTERVAL)
 }
 
 /// Announces this node's status to all connected peers when it has changed.
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -317,6 +317,12 @@
             .collect()
     }
 
+    /// Returns the failure domain of a connected peer.
+    pub(crate) fn domain(&self, key: PeerKey) -> Option<&Domain> {
+        let status = self.by_key.get(key)?.status.as_ref()?;
+        Some(&status.domain)
+    }
+
     pub(crate) fn link(&self, key: PeerKey) -> Option<SocketAddr> {
         Some(self.by_key.get(key)?.link)
     }
