Bound answers without end, and take no answer without the request's id

Change: reads fail beyond 128 KB before the end of a head; a body counts in the node's memory for bodies while it is read, without a copy; an answer without the id of the request is a stray one, whatever its status.

--- a/crates/fakes/src/scripted.rs
+++ b/crates/fakes/src/scripted.rs
@@ -40,6 +40,8 @@
 pub enum Step {
     /// Sends the bytes as they are.
     Send(Vec<u8>),
+    /// Sends the bytes again and again until the client closes the connection.
+    SendEndlessly(Vec<u8>),
     /// Waits. If the client closes the connection meanwhile, the target closes it too.
     Wait(Duration),
     /// Shuts the connection down with FIN.
@@ -56,6 +58,7 @@
     received_requests: Mutex<Vec<ReceivedRequest>>,
     abandoned_wait_count: AtomicUsize,
     connections: AtomicUsize,
+    endless_sends: AtomicUsize,
 }
 
 /// A target that runs a [`Script`] for each request. It stops when it is dropped.
@@ -118,12 +121,24 @@
         self.shared.received_requests.lock().clone()
     }
 
+    /// Returns the number of connections on which [`Step::SendEndlessly`] still sends.
+    pub fn endless_send_count(&self) -> usize {
+        self.shared.endless_sends.load(Ordering::SeqCst)
+    }
+
     /// Returns how often a client closed its connection during [`Step::Wait`].
     pub fn abandoned_wait_count(&self) -> usize {
         self.shared.abandoned_wait_count.load(Ordering::SeqCst)
     }
 }
 
+/// Returns the error with which the connection ends.
+async fn send_endlessly(tcp: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+    loop {
+        tcp.write_all(bytes).await?;
+    }
+}
+
 async fn serve_connection(
     mut tcp: TcpStream,
     connection: usize,
@@ -144,6 +159,12 @@
         for step in script(&req) {
             match step {
                 Step::Send(bytes) => tcp.write_all(&bytes).await?,
+                Step::SendEndlessly(bytes) => {
+                    shared.endless_sends.fetch_add(1, Ordering::SeqCst);
+                    let sent = send_endlessly(&mut tcp, &bytes).await;
+                    shared.endless_sends.fetch_sub(1, Ordering::SeqCst);
+                    return sent;
+                }
                 Step::Wait(duration) => {
                     if closed_within(&mut tcp, &mut buf, duration).await {
                         shared.abandoned_wait_count.fetch_add(1, Ordering::SeqCst);
--- a/crates/proxy/src/beside.rs
+++ b/crates/proxy/src/beside.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 use wire::{Code, Fingerprint, Incarnation, InstanceId, Refusal, Time};
 
+use crate::body_memory::BodyMemory;
 use crate::latency::Span;
 use crate::message::{Answer, Call, Failure, Outcome, Reply, StrikeNotice, Times};
 use crate::names;
@@ -201,7 +202,8 @@
         Reuse::UnlessSuspected
     };
     let remaining = slot.deadline.since(started_at);
-    let sent = shared.upstream.send(|| shared.now(), req, reuse);
+    let memory = BodyMemory::new(shared);
+    let sent = shared.upstream.send(|| shared.now(), req, reuse, memory);
     let target_loss = shared.wait_for_target_loss();
     let received = tokio::select! {
         r = tokio::time::timeout(remaining, sent) => r,
@@ -258,10 +260,11 @@
     now: Time,
 ) -> Outcome {
     let header_names = &shared.settings.header_names;
-    let id = names::visible_ascii(&received.headers, &header_names.request_id);
+    let id = names::visible_ascii(&received.headers, &header_names.request_id).unwrap_or_default();
     let not_run = received.headers.contains_key(&header_names.not_run);
-    if id.is_some_and(|id| id != call.request_id) {
-        log::warn!(event = "stray_answer", id = call.request_id.as_str(); "target's response belongs to another request; idle connections dropped, outcome unknown");
+    // Targets echo the id, so an answer without it may belong to another request, too.
+    if id != call.request_id {
+        log::warn!(event = "stray_answer", id = call.request_id.as_str(), answer_id = id, status = received.status.as_u16(); "target's response belongs to another request; idle connections dropped, outcome unknown");
         shared.upstream.suspect(now);
         return Outcome::Failed(Failure::Broken);
     }
@@ -273,11 +276,13 @@
     }
     let is_marked = received.headers.contains_key(&header_names.response_mark);
     let is_encoded = received.headers.contains_key(header::CONTENT_ENCODING);
-    let is_unproved_success = received.status.is_success() && (!is_marked || id.is_none());
+    let is_unproved_success = received.status.is_success() && (!is_marked || id.is_empty());
+    // Interim responses are handled by the HTTP library, and no protocol switch is requested.
+    let is_interim = received.status.is_informational();
     // Without the target's "not run" header, these statuses do not prove that the request was not
     // run.
     let is_unproved_refusal = matches!(received.status.as_u16(), 408 | 429 | 503);
-    if is_unproved_success || is_encoded || is_unproved_refusal {
+    if is_unproved_success || is_interim || is_encoded || is_unproved_refusal {
         shared.upstream.suspect(now);
         return Outcome::Failed(Failure::Broken);
     }
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -1,7 +1,6 @@
 //! Serves the requests of callers at the entry node, from arrival to response.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -14,6 +13,7 @@
 
 use crate::attempts::{self, FinalOutcome};
 use crate::beside;
+use crate::body_memory::BodyMemory;
 use crate::latency::Span;
 use crate::message::{Answer, Call};
 use crate::names;
@@ -240,46 +240,12 @@
     let mut buf = BytesMut::new();
     while let Some(part) = parts.recv().await {
         let data = part?;
-        memory.add(data.len())?;
+        memory.add(data.len()).map_err(|_| Code::QueueFull)?;
         buf.extend_from_slice(&data);
     }
     Ok(buf.freeze())
 }
 
-/// The part of the node's memory for bodies that one body takes while it is read; released on drop.
-struct BodyMemory<'a> {
-    shared: &'a Shared,
-    bytes: usize,
-}
-
-impl<'a> BodyMemory<'a> {
-    fn new(shared: &'a Shared) -> BodyMemory<'a> {
-        BodyMemory { shared, bytes: 0 }
-    }
-
-    /// Counts `bytes` more; refuses the request if all bodies together exceed the node's limit.
-    fn add(&mut self, bytes: usize) -> Result<(), Refusal> {
-        self.bytes += bytes;
-        let total_bytes = self
-            .shared
-            .held_body_bytes
-            .fetch_add(bytes, Ordering::Relaxed)
-            + bytes;
-        if total_bytes > self.shared.max_held_body_bytes() {
-            return Err(Code::QueueFull.into());
-        }
-        Ok(())
-    }
-}
-
-impl Drop for BodyMemory<'_> {
-    fn drop(&mut self) {
-        self.shared
-            .held_body_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 fn final_response(
     shared: &Shared,
     pending: &Pending,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,13 +6,15 @@
 //!
 //! - `listen`, `caller`, `entry`, `attempts`, `remote`: the entry side, from the arrival of a caller's
 //!   request to the attempts at single instances.
-//! - `beside`, `upstream`, `health`: the target side.
+//! - `beside`, `upstream`, `read_limit`, `health`: the target side.
 //! - `link`, `message`, `peers`, `transfer`: connections to other nodes.
 //! - `source`, `readers`, `versions`: the log, which nodes read it, and the routing table in force.
-//! - `node`: start and graceful shutdown; `shared`: state shared by the tasks.
+//! - `node`: start and graceful shutdown; `shared`: state shared by the tasks;
+//!   `body_memory`: the memory that bodies take.
 
 mod attempts;
 mod beside;
+mod body_memory;
 mod caller;
 mod clock;
 mod entry;
@@ -24,6 +26,7 @@
 mod names;
 mod node;
 mod peers;
+mod read_limit;
 mod readers;
 mod remote;
 mod settings;
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -15,6 +15,9 @@
 use tokio::task::JoinHandle;
 use wire::Time;
 
+use crate::body_memory::BodyMemory;
+use crate::read_limit::{LimitedStream, ReadAllowance};
+
 /// The target is on the same instance; a slower connect means that it hangs.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest idle time of a connection that may be reused, if the target states none. Common servers
@@ -28,9 +31,14 @@
 /// connections. If a connection broke, the others reuse only connections that have been idle for
 /// less than half as long as that one had been.
 const SUSPICION_PERIOD: Duration = Duration::from_secs(20);
-/// Largest response body that is buffered; a larger one counts as broken. Bounds the memory of a
-/// node.
+/// Largest response body that is buffered; a larger one counts as broken. The node's memory for
+/// bodies bounds all of them together.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
+/// Largest size of a response's head, and of the interim responses before it.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Bytes that may be read before a response's head is complete: the buffer that holds the end of the
+/// head may also hold the begin of the body.
+const MAX_BYTES_BEFORE_BODY: usize = 2 * MAX_HEAD_BYTES;
 
 /// A response, read to its end.
 #[derive(Debug)]
@@ -91,6 +99,7 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    allowance: ReadAllowance,
     driver: JoinHandle<()>,
 }
 
@@ -139,12 +148,13 @@
     }
 
     /// Sends a request, on an idle connection that `reuse` allows or else a new one, and reads the
-    /// response to its end. `now` returns the current time.
+    /// response to its end, whose body counts in `memory`. `now` returns the current time.
     pub(crate) async fn send(
         &self,
         now: impl Fn() -> Time,
         req: Request<Full<Bytes>>,
         reuse: Reuse,
+        memory: BodyMemory<'_>,
     ) -> Result<ReceivedResponse, SendError> {
         let mut req = req;
         while let Some((mut conn, idle)) = self.take_idle(now(), reuse) {
@@ -152,8 +162,9 @@
             if conn.sender.ready().await.is_err() {
                 continue;
             }
+            conn.allowance.set(MAX_BYTES_BEFORE_BODY);
             match conn.sender.try_send_request(req).await {
-                Ok(res) => return self.receive(&now, conn, res).await,
+                Ok(res) => return self.receive(&now, conn, res, memory).await,
                 Err(mut e) => match e.take_message() {
                     // The library returned the request, so no byte of it was sent.
                     Some(unsent) => req = unsent,
@@ -166,7 +177,7 @@
         }
         let mut conn = self.connect().await?;
         match conn.sender.try_send_request(req).await {
-            Ok(res) => self.receive(&now, conn, res).await,
+            Ok(res) => self.receive(&now, conn, res, memory).await,
             Err(_) => Err(SendError::Broken),
         }
     }
@@ -213,7 +224,12 @@
         if tcp.set_nodelay(true).is_err() {
             return Err(SendError::Connect);
         }
-        let handshake = http1::handshake(TokioIo::new(tcp)).await;
+        let allowance = ReadAllowance::new(MAX_BYTES_BEFORE_BODY);
+        let io = TokioIo::new(LimitedStream::new(tcp, allowance.clone()));
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(io)
+            .await;
         let Ok((sender, driver)) = handshake else {
             return Err(SendError::Connect);
         };
@@ -221,7 +237,11 @@
             // The request on the connection receives the error; an idle connection is just dropped.
             let _ = driver.await;
         });
-        Ok(Connection { sender, driver })
+        Ok(Connection {
+            sender,
+            allowance,
+            driver,
+        })
     }
 
     async fn receive(
@@ -229,12 +249,12 @@
         now: &impl Fn() -> Time,
         conn: Connection,
         res: http::Response<hyper::body::Incoming>,
+        mut memory: BodyMemory<'_>,
     ) -> Result<ReceivedResponse, SendError> {
         let (parts, body) = res.into_parts();
-        let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        let Ok(collected) = collected else {
-            return Err(SendError::Broken);
-        };
+        // hyper bounds chunk extensions and trailers, and `read_body` the data.
+        conn.allowance.set(usize::MAX);
+        let body = read_body(body, &mut memory).await?;
         if let Some(reuse_for) = reuse_period(&parts.headers) {
             let since = now();
             self.state.lock().idle.push(IdleConnection {
@@ -246,7 +266,7 @@
         Ok(ReceivedResponse {
             status: parts.status,
             headers: parts.headers,
-            body: collected.to_bytes(),
+            body,
         })
     }
 
@@ -259,6 +279,41 @@
     }
 }
 
+/// Reads a response body to its end. A body without end is broken off at the limits.
+async fn read_body(
+    body: hyper::body::Incoming,
+    memory: &mut BodyMemory<'_>,
+) -> Result<Bytes, SendError> {
+    let mut body = body;
+    let mut parts = Vec::new();
+    let mut bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| SendError::Broken)?.into_data() else {
+            continue;
+        };
+        bytes += data.len();
+        let has_room = memory.add(data.len() + size_of::<Bytes>()).is_ok();
+        if !has_room || bytes > MAX_RESPONSE_BYTES {
+            log::warn!(event = "response_too_large", bytes, has_room; "target's response takes too much memory; connection closed, outcome unknown");
+            return Err(SendError::Broken);
+        }
+        parts.push(data);
+    }
+    Ok(concat(parts, bytes))
+}
+
+/// Joins the parts of a body of `bytes`; most bodies have one.
+fn concat(mut parts: Vec<Bytes>, bytes: usize) -> Bytes {
+    if parts.len() <= 1 {
+        return parts.pop().unwrap_or_default();
+    }
+    let mut whole = BytesMut::with_capacity(bytes);
+    for part in parts {
+        whole.extend_from_slice(&part);
+    }
+    whole.freeze()
+}
+
 /// Returns for how long a connection may be reused after a response, or `None` if it must be
 /// closed.
 fn reuse_period(headers: &HeaderMap) -> Option<Duration> {
