Trust an answer without id on the first use of a connection only

Change: on a connection that carried no other request, an answer can only belong to this one, so it is accepted there without an id.

--- a/crates/proxy/src/beside.rs
+++ b/crates/proxy/src/beside.rs
@@ -196,10 +196,10 @@
         return Outcome::Refused(Refusal::from(Code::BadHeader).into());
     };
     shared.metrics.count(Metric::HandOvers);
-    let reuse = if slot.call.is_repeatable {
-        Reuse::Any
-    } else {
-        Reuse::UnlessSuspected
+    let reuse = match slot.call.is_repeatable {
+        _ if slot.call.request_id.is_empty() => Reuse::Never,
+        true => Reuse::Any,
+        false => Reuse::UnlessSuspected,
     };
     let remaining = slot.deadline.since(started_at);
     let memory = BodyMemory::new(shared);
@@ -262,8 +262,9 @@
     let header_names = &shared.settings.header_names;
     let id = names::visible_ascii(&received.headers, &header_names.request_id).unwrap_or_default();
     let not_run = received.headers.contains_key(&header_names.not_run);
-    // Targets echo the id, so an answer without it may belong to another request, too.
-    if id != call.request_id {
+    // Without an id, only the connection tells to which request an answer belongs.
+    let is_own = id == call.request_id || (id.is_empty() && received.is_first);
+    if !is_own {
         log::warn!(event = "stray_answer", id = call.request_id.as_str(), answer_id = id, status = received.status.as_u16(); "target's response belongs to another request; idle connections dropped, outcome unknown");
         shared.upstream.suspect(now);
         return Outcome::Failed(Failure::Broken);
--- a/crates/proxy/src/health.rs
+++ b/crates/proxy/src/health.rs
@@ -44,7 +44,7 @@
     let memory = BodyMemory::new(shared);
     let sent = shared
         .upstream
-        .send(|| shared.now(), req, Reuse::Any, memory);
+        .send(|| shared.now(), req, Reuse::Never, memory);
     let Ok(Ok(response)) = tokio::time::timeout(HEALTH_TIMEOUT, sent).await else {
         log::info!(event = "health_unanswered"; "the target's health endpoint did not respond; the target is not confirmed");
         return;
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -46,6 +46,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Whether the connection has carried no other request, to which the response might belong.
+    pub(crate) is_first: bool,
 }
 
 /// Why no response was received.
@@ -67,6 +69,9 @@
     /// Any idle connection, but none during a suspicion period: for a request that must not be sent
     /// twice.
     UnlessSuspected,
+    /// None, and the new connection carries no other request: for a request whose response has no
+    /// id.
+    Never,
 }
 
 /// The connections to one target.
@@ -164,7 +169,12 @@
             }
             conn.allowance.set(MAX_BYTES_BEFORE_BODY);
             match conn.sender.try_send_request(req).await {
-                Ok(res) => return self.receive(&now, conn, res, memory).await,
+                Ok(res) => {
+                    let mut response = receive(&conn, res, memory).await?;
+                    response.is_first = false;
+                    self.put_idle(now(), conn, &response.headers);
+                    return Ok(response);
+                }
                 Err(mut e) => match e.take_message() {
                     // The library returned the request, so no byte of it was sent.
                     Some(unsent) => req = unsent,
@@ -176,10 +186,14 @@
             }
         }
         let mut conn = self.connect().await?;
-        match conn.sender.try_send_request(req).await {
-            Ok(res) => self.receive(&now, conn, res, memory).await,
-            Err(_) => Err(SendError::Broken),
+        let Ok(res) = conn.sender.try_send_request(req).await else {
+            return Err(SendError::Broken);
+        };
+        let response = receive(&conn, res, memory).await?;
+        if reuse != Reuse::Never {
+            self.put_idle(now(), conn, &response.headers);
         }
+        Ok(response)
     }
 
     /// Returns whether the target accepts a new connection.
@@ -200,7 +214,12 @@
         if now >= state.suspected_until {
             state.idle_limit = Duration::MAX;
         }
-        if reuse == Reuse::UnlessSuspected && now < state.suspected_until {
+        let is_allowed = match reuse {
+            Reuse::Any => true,
+            Reuse::UnlessSuspected => now >= state.suspected_until,
+            Reuse::Never => false,
+        };
+        if !is_allowed {
             return None;
         }
         while let Some(idle) = state.idle.pop() {
@@ -244,30 +263,15 @@
         })
     }
 
-    async fn receive(
-        &self,
-        now: &impl Fn() -> Time,
-        conn: Connection,
-        res: http::Response<hyper::body::Incoming>,
-        mut memory: BodyMemory<'_>,
-    ) -> Result<ReceivedResponse, SendError> {
-        let (parts, body) = res.into_parts();
-        // hyper bounds chunk extensions and trailers, and `read_body` the data.
-        conn.allowance.set(usize::MAX);
-        let body = read_body(body, &mut memory).await?;
-        if let Some(reuse_for) = reuse_period(&parts.headers) {
-            let since = now();
+    /// Keeps a connection for further requests if the response with `headers` allows that.
+    fn put_idle(&self, now: Time, conn: Connection, headers: &HeaderMap) {
+        if let Some(reuse_for) = reuse_period(headers) {
             self.state.lock().idle.push(IdleConnection {
                 conn,
-                since,
+                since: now,
                 reuse_for,
             });
         }
-        Ok(ReceivedResponse {
-            status: parts.status,
-            headers: parts.headers,
-            body,
-        })
     }
 
     /// Starts a suspicion period and drops all idle connections, after a response that was not
@@ -279,6 +283,24 @@
     }
 }
 
+/// Reads the response to the first request on a connection.
+async fn receive(
+    conn: &Connection,
+    res: http::Response<hyper::body::Incoming>,
+    mut memory: BodyMemory<'_>,
+) -> Result<ReceivedResponse, SendError> {
+    let (parts, body) = res.into_parts();
+    // hyper bounds chunk extensions and trailers, and `read_body` the data.
+    conn.allowance.set(usize::MAX);
+    let body = read_body(body, &mut memory).await?;
+    Ok(ReceivedResponse {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+        is_first: true,
+    })
+}
+
 /// Reads a response body to its end. A body without end is broken off at the limits.
 async fn read_body(
     body: hyper::body::Incoming,
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -12,7 +12,9 @@
 use fakes::{FakeKeyedLog, ReceivedRequest, Script, ScriptedTarget, Step};
 use member::{TargetIncarnation, TargetReport, TargetState};
 use ops::Metrics;
-use proxy::{Bounds, HeaderNames, LogSource, Node, ReadAhead, Settings, TargetSettings};
+use proxy::{
+    Bounds, HeaderNames, LogSource, Node, ReadAhead, Settings, StartError, TargetSettings,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use wire::UnixMillis;
@@ -24,6 +26,9 @@
 /// Longest wait for a condition or a response in a test.
 pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Attempts to bind free addresses at the start of a node.
+const MAX_BIND_ATTEMPTS: u32 = 5;
+
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 pub(crate) fn header_names() -> HeaderNames {
@@ -109,16 +114,43 @@
 impl TestNode {
     /// Starts the node of `target`, a target of the service `desk`.
     pub(crate) async fn start(log: &FakeKeyedLog, target: SocketAddr) -> TestNode {
-        TestNode::start_at(log, target, free_addr(), "desk").await
+        TestNode::start_as(log, target, "desk").await
+    }
+
+    /// Starts the node of `target`, a target of `service`, at any free addresses.
+    pub(crate) async fn start_as(
+        log: &FakeKeyedLog,
+        target: SocketAddr,
+        service: &str,
+    ) -> TestNode {
+        let mut attempts = 0;
+        loop {
+            match TestNode::try_start(log, target, free_addr(), service).await {
+                Ok(node) => return node,
+                // A connection of another test has taken the port.
+                Err(StartError::Bind { .. }) if attempts < MAX_BIND_ATTEMPTS => attempts += 1,
+                Err(e) => panic!("{e}"),
+            }
+        }
     }
 
-    /// Starts the node of `target`, a target of `service`, with the link address `link`.
+    /// Starts the node of `target`, a target of `service`, with the link address `peer_addr`.
     pub(crate) async fn start_at(
         log: &FakeKeyedLog,
         target: SocketAddr,
         peer_addr: SocketAddr,
         service: &str,
     ) -> TestNode {
+        let started = TestNode::try_start(log, target, peer_addr, service).await;
+        started.expect("free addresses")
+    }
+
+    async fn try_start(
+        log: &FakeKeyedLog,
+        target: SocketAddr,
+        peer_addr: SocketAddr,
+        service: &str,
+    ) -> Result<TestNode, StartError> {
         let caller_addr = free_addr();
         let settings = Settings {
             name: "test".into(),
@@ -148,18 +180,37 @@
             },
         };
         let metrics = Arc::new(Metrics::new(None).unwrap());
-        let node = Node::start(settings, metrics).await.unwrap();
+        let node = Node::start(settings, metrics).await?;
         let target_id = format!("t{}", NEXT_ID.fetch_add(1, Ordering::SeqCst));
-        TestNode {
+        Ok(TestNode {
             node: Some(node),
             caller_addr,
             peer_addr,
             target,
             target_id,
             sequence: 0,
+        })
+    }
+
+    /// Stops the node and starts it again at its link address, beside the same target.
+    pub(crate) async fn restart(self, log: &FakeKeyedLog) -> TestNode {
+        let (target, peer_addr) = (self.target, self.peer_addr);
+        let (target_id, sequence) = (self.target_id.clone(), self.sequence);
+        self.stop().await;
+        let started = TestNode::start_at(log, target, peer_addr, "desk").await;
+        TestNode {
+            target_id,
+            sequence,
+            ..started
         }
     }
 
+    /// Announces that the target departs.
+    pub(crate) fn depart(&self) {
+        let handle = self.node().handle();
+        handle.deregister_target(&self.target_id, Some(UnixMillis(1)));
+    }
+
     fn node(&self) -> &Node {
         self.node.as_ref().expect("the node runs")
     }
