--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -302,10 +302,7 @@
     let free: Vec<_> = eligible
         .iter()
         .filter(|c| c.key != chosen && !c.is_unresponsive)
-        .filter(|c| {
-            c.reported_load.in_flight + c.reported_load.queued + c.sent_since
-                < c.reported_load.slots
-        })
+        .filter(|c| c.outstanding() < c.reported_load.slots)
         .copied()
         .collect();
     let profile = request_profile(shared, pending, shared.now(), eligible);
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -95,6 +95,16 @@
     pub is_unresponsive: bool,
 }
 
+impl<K> Candidate<K> {
+    /// Returns the reported requests, and those that the entry node has sent since the report.
+    pub fn outstanding(&self) -> u32 {
+        let load = &self.reported_load;
+        load.in_flight
+            .saturating_add(load.queued)
+            .saturating_add(self.sent_since)
+    }
+}
+
 /// Measured transit time to one instance and back. It covers a slow link and a busy target-side
 /// node, which delay responses as much as a slow target does.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -164,7 +174,7 @@
 /// Estimates the present number of requests on an instance. The weight of a report decays with its
 /// age in favour of the mean load of the service.
 fn expected_requests<K>(c: &Candidate<K>, mean_load: f64) -> f64 {
-    let reported = f64::from(c.reported_load.in_flight + c.reported_load.queued + c.sent_since);
+    let reported = f64::from(c.outstanding());
     let lifetime = (c.service_time * REPORT_LIFETIME_SERVICE_TIMES).as_secs_f64();
     let weight = (-c.report_age.as_secs_f64() / lifetime.max(MIN_REPORT_LIFETIME_S)).exp();
     reported * weight + mean_load * f64::from(c.reported_load.slots) * (1.0 - weight)
@@ -195,8 +205,9 @@
 
 /// Returns the mean number of reported requests per slot.
 pub fn mean_load<K>(candidates: &[Candidate<K>]) -> f64 {
-    let sum = |f: fn(&Load) -> u32| candidates.iter().map(|c| f(&c.reported_load)).sum::<u32>();
-    f64::from(sum(|l| l.in_flight + l.queued)) / f64::from(sum(|l| l.slots).max(1))
+    let sum = |f: fn(&Load) -> f64| candidates.iter().map(|c| f(&c.reported_load)).sum::<f64>();
+    let reported = sum(|l| f64::from(l.in_flight.saturating_add(l.queued)));
+    reported / sum(|l| f64::from(l.slots)).max(1.0)
 }
 
 /// Returns the mean service time of a route's requests relative to that of all requests on the
@@ -238,9 +249,10 @@
         .iter()
         .filter(|c| c.reported_load.slots > 0)
         .map(|c| {
-            let outstanding = c.reported_load.in_flight + c.reported_load.queued + c.sent_since;
-            let excess = (outstanding + 1).saturating_sub(c.reported_load.slots);
-            c.service_time * excess / c.reported_load.slots
+            let slots = c.reported_load.slots;
+            let excess = c.outstanding().saturating_add(1).saturating_sub(slots);
+            let rounds = f64::from(excess) / f64::from(slots);
+            c.service_time.min(MAX_ADVISED_WAIT).mul_f64(rounds)
         })
         .min()
         .unwrap_or(MAX_ADVISED_WAIT)
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -105,6 +105,16 @@
     assert!(time(&candidate(1, 6, 60)) > time(&remote));
 }
 
+/// Guards against a false report that overflows the sums, which would stop the node.
+#[test]
+fn a_report_of_any_size_is_handled() {
+    let false_report = candidate(1, u32::MAX, u32::MAX);
+    let candidates = [false_report, candidate(2, 6, 3)];
+    assert_eq!(choose(&candidates, 0), Some(2));
+    assert!(!has_free_slot(&false_report, mean_load(&candidates)));
+    assert_eq!(time_to_free_slot(&[false_report]), Duration::from_secs(5));
+}
+
 /// Guards against an advised wait that ignores the queues.
 #[test]
 fn time_to_room_follows_shortest_queue() {
