Never wait in the check for a caller's disconnect

Cause, found by reading: the check awaited the socket's readiness, and with it all requests of the connection would wait, if the caller neither reads nor sends and more is buffered than is read ahead. Change: the check looks and goes on. a_caller_that_reads_nothing_does_not_stop_the_timeouts_of_its_requests guards it, but passed before the change too: the stand-still was not reproduced.

--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -74,7 +74,7 @@
     output: VecDeque<Bytes>,
     /// Bytes in `output`, and in responses that wait for earlier ones.
     held_bytes: usize,
-    /// `Next` events that have not been returned.
+    /// The request of a `Next` event that has not been returned.
     next: Option<RequestKey>,
     /// When bytes were last received or written.
     active_at: Time,
--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -129,7 +129,7 @@
                 }
                 () = &mut timer => {
                     self.conn.handle_timeout(shared.now());
-                    self.check_connected().await?;
+                    self.check_connected()?;
                 }
             }
         }
@@ -225,15 +225,13 @@
     }
 
     /// Fails if the caller has disconnected, also while nothing is read from it.
-    async fn check_connected(&self) -> Result<(), Error> {
+    fn check_connected(&self) -> Result<(), Error> {
         if self.conn.wants_input() {
             return Ok(());
         }
-        let ready = self
-            .tcp
-            .ready(Interest::READABLE | Interest::WRITABLE)
-            .await?;
-        if ready.is_read_closed() {
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let ready = self.tcp.ready(interest).now_or_never().transpose()?;
+        if ready.is_some_and(|r| r.is_read_closed()) {
             return Err(ErrorKind::UnexpectedEof.into());
         }
         Ok(())
--- a/crates/proxy/tests/pipelining.rs
+++ b/crates/proxy/tests/pipelining.rs
@@ -183,3 +183,36 @@
     assert!(matches!(response.status, 200 | 503), "{response:?}");
     shutdown.await.unwrap();
 }
+
+/// Guards against a connection that stands still, with all requests on it, since its caller sends
+/// more than is read ahead and reads nothing.
+#[tokio::test]
+async fn a_caller_that_reads_nothing_does_not_stop_the_timeouts_of_its_requests() {
+    const BODY_BYTES: usize = 16 << 20;
+    // As much as a connection reads ahead.
+    const READ_AHEAD_BYTES: usize = 64 << 10;
+    let (node, target) = start_node(script(|req| {
+        if req.path.starts_with("/short/") {
+            return vec![Step::Wait(Duration::from_secs(5))];
+        }
+        let response = ok_response(req, &"x".repeat(BODY_BYTES));
+        vec![Step::Wait(Duration::from_millis(50)), Step::Send(response)]
+    }))
+    .await;
+    let mut caller = Caller::connect(node.caller_addr).await;
+    caller.send("GET", "/safe/large", "r1", "").await;
+    caller.send("GET", "/short/slow", "r2", "").await;
+    wait_until("both run", || received_requests(&target).len() == 2).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let filler = format!("GET /safe/{} HTTP/1.1\r\nhost: h\r\n\r\n", "x".repeat(968));
+    let count = READ_AHEAD_BYTES / filler.len();
+    // The last bytes are read with the limit reached, so the socket has none left.
+    for part in [filler.repeat(count - 4), filler.repeat(8)] {
+        caller.write(part.as_bytes()).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    // The route's timeout of 300 ms has passed.
+    assert_eq!(target.abandoned_wait_count(), 1);
+    assert_eq!(caller.response().await.unwrap().body.len(), BODY_BYTES);
+}
--- a/crates/route/tests/domains.rs
+++ b/crates/route/tests/domains.rs
@@ -23,7 +23,7 @@
 /// Value of a late response; that of one in time is 1.
 const LATE_VALUE: f64 = 0.3;
 
-/// Instances of one domain, and which of all instances a request from it may use.
+/// Chooses one of the candidates for a request.
 type Policy = fn(&mut SmallRng, &[Candidate<usize>]) -> usize;
 
 /// A target as its node knows it: when each running and queued request ends.
