Revert to two readers of the log in a failure domain

Suspected, not traced: with one reader, a long poll that has gone silent stops a whole domain, while the reader announces itself as working and the others wait.

--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -170,7 +170,7 @@
             new_peers,
             status_changed: Notify::new(),
             version_behind: Notify::new(),
-            reader_liveness: Mutex::new(ReaderLiveness::new(Clock.now())),
+            reader_liveness: Mutex::default(),
             is_log_readable: AtomicBool::new(false),
             health_check_due: Notify::new(),
             target_losses: watch::Sender::new(0),
@@ -362,12 +362,14 @@
             .map(|r| r.incarnation.clone())
     }
 
-    /// Returns whether this node should read versions from the log.
+    /// Returns whether this node should read versions from the log: its rank makes it a reader of
+    /// its failure domain, or no working reader has announced itself in time.
     pub(crate) fn should_read(&self, now: Time) -> bool {
         let s = &self.settings;
         let own = readers::rank(&s.domain, s.peer_addr, s.link_mbps);
-        let position = readers::position(own, self.peers.lock().reader_ranks(&s.domain));
-        self.reader_liveness.lock().is_reader(now, position)
+        let peers = self.peers.lock();
+        readers::is_reader(own, peers.reader_ranks(&s.domain))
+            || !self.reader_liveness.lock().has_working_reader(now)
     }
 
     /// Waits until a probe finds the target dead the next time.
