Append to a stream only at an expected end

Cause: a step that two nodes may decide on has to be recorded by one of them. The log's own condition on the end of a stream gives that without a lease. The stand-ins follow it.

--- a/crates/fakes/src/keyed.rs
+++ b/crates/fakes/src/keyed.rs
@@ -109,6 +109,32 @@
         }
     }
 
+    /// Appends records, if `end` is `None` or the end of the stream.
+    async fn append_records(
+        &self,
+        stream: &str,
+        end: Option<Offset>,
+        records: Vec<Vec<u8>>,
+    ) -> Result<Offset, LogError> {
+        let fault = self.apply_fault().await?;
+        let first = {
+            let mut state = self.state.lock();
+            let s = state.streams.entry(stream.to_owned()).or_default();
+            let first = Offset(s.records.len() as u64);
+            if end.is_some_and(|end| end != first) {
+                return Err(LogError::Conflict { end: first });
+            }
+            s.records.extend(records);
+            first
+        };
+        self.changed.send_modify(|n| *n += 1);
+        if fault == KeyedFault::LosesReplies {
+            let reason = "reply discarded by the injected fault".to_owned();
+            return Err(LogError::NoUsableResponse { reason });
+        }
+        Ok(first)
+    }
+
     fn read_now(&self, stream: &str, from: Offset) -> Result<Batch, LogError> {
         let mut state = self.state.lock();
         let s = state.streams.entry(stream.to_owned()).or_default();
@@ -137,22 +163,7 @@
         stream: &'a str,
         records: Vec<Vec<u8>>,
     ) -> BoxFuture<'a, Result<Offset, LogError>> {
-        Box::pin(async move {
-            let fault = self.apply_fault().await?;
-            let first = {
-                let mut state = self.state.lock();
-                let s = state.streams.entry(stream.to_owned()).or_default();
-                let first = s.records.len() as u64;
-                s.records.extend(records);
-                first
-            };
-            self.changed.send_modify(|n| *n += 1);
-            if fault == KeyedFault::LosesReplies {
-                let reason = "reply discarded by the injected fault".to_owned();
-                return Err(LogError::NoUsableResponse { reason });
-            }
-            Ok(Offset(first))
-        })
+        Box::pin(self.append_records(stream, None, records))
     }
 
     fn read<'a>(
@@ -179,6 +190,15 @@
 }
 
 impl KeyedLog for FakeKeyedLog {
+    fn append_at<'a>(
+        &'a self,
+        stream: &'a str,
+        end: Offset,
+        records: Vec<Vec<u8>>,
+    ) -> BoxFuture<'a, Result<Offset, LogError>> {
+        Box::pin(self.append_records(stream, Some(end), records))
+    }
+
     fn read_newest<'a>(
         &'a self,
         stream: &'a str,
--- a/crates/fakes/src/log.rs
+++ b/crates/fakes/src/log.rs
@@ -365,5 +365,6 @@
             };
             (StatusCode::GONE, Json(page)).into_response()
         }
+        LogError::Conflict { .. } => StatusCode::PRECONDITION_FAILED.into_response(),
     }
 }
--- a/crates/plat/src/keyed.rs
+++ b/crates/plat/src/keyed.rs
@@ -51,6 +51,18 @@
     /// Fails when the log refuses the call or gives no usable response.
     fn read_newest<'a>(&'a self, stream: &'a str)
     -> BoxFuture<'a, Result<NewestRecords, LogError>>;
+
+    /// Appends `records` to `stream` like [`Log::append`], but only if the stream ends at `end`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`LogError::Conflict`] if the stream ends elsewhere, and like [`Log::append`].
+    fn append_at<'a>(
+        &'a self,
+        stream: &'a str,
+        end: Offset,
+        records: Vec<Vec<u8>>,
+    ) -> BoxFuture<'a, Result<Offset, LogError>>;
 }
 
 /// Encodes the content of a record: the key's length in one byte, the key, the value.
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -51,6 +51,12 @@
         /// Oldest offset that the log still retains.
         oldest: Offset,
     },
+    /// A conditional append found the stream at another end. Nothing was written.
+    #[snafu(display("the stream ends at offset {end}, not where the append expected"))]
+    Conflict {
+        /// Offset that the next record will get.
+        end: Offset,
+    },
 }
 
 impl LogError {
