Carry out roll-outs in the nodes of the platform

The node beside a target admits what the plan of the decider allows and shows no slots otherwise; readers announce the orders; steps are recorded at the expected end of a stream and the status is written for the operators. Numbered codes 206 and 506, metrics rollout.refused, rollout.step and rollout.closed.

--- a/crates/member/src/own_target.rs
+++ b/crates/member/src/own_target.rs
@@ -57,6 +57,8 @@
     pub state: TargetState,
     /// Remaining warm-up time, in which the target is slower than usual; zero if it is warm.
     pub warmup_remaining: Duration,
+    /// Version of the target's software; empty if the target reports none.
+    pub software: Arc<str>,
 }
 
 /// Outcome of [`OwnTarget::apply_report`].
--- a/crates/member/tests/own_target.rs
+++ b/crates/member/tests/own_target.rs
@@ -19,6 +19,7 @@
         slots: 6,
         state,
         warmup_remaining: Duration::ZERO,
+        software: "v1".into(),
     }
 }
 
--- a/crates/ops/src/metrics.rs
+++ b/crates/ops/src/metrics.rs
@@ -77,6 +77,10 @@
     Strikes = Counter "quarantine.strike", "strikes";
     /// Requests refused because they are quarantined.
     QuarantineRefusals = Counter "quarantine.refused", "requests";
+    /// Calls refused because a roll-out does not release the target's version.
+    RolloutRefusals = Counter "rollout.refused", "requests";
+    /// Steps of roll-outs that this node has recorded as their decider.
+    RolloutSteps = Counter "rollout.step", "steps";
     /// Claims that this node won.
     ClaimsWon = Counter "claim.won", "claims";
     /// Requests refused when they asked for a claim, for example because another holder won the
@@ -114,6 +118,8 @@
     PublicationsRejected = Counter "config.rejected", "publications";
     /// Versions for which two different digests were seen.
     VersionConflicts = Counter "config.conflict", "versions";
+    /// Whether a roll-out keeps this node's target from requests: 1 if it does, otherwise 0.
+    RolloutClosed = Gauge "rollout.closed", "0 or 1";
     /// Configuration version in force.
     Version = Gauge "config.version", "version";
     /// Whether the node is ready: 1 if it is, otherwise 0.
--- a/crates/proxy/src/beside.rs
+++ b/crates/proxy/src/beside.rs
@@ -21,6 +21,7 @@
 use crate::latency::Span;
 use crate::message::{Answer, Call, Failure, Outcome, Reply, StrikeNotice, Times};
 use crate::names;
+use crate::rollouts;
 use crate::shared::{Phase, Shared};
 use crate::upstream::{ReceivedResponse, Reuse, SendError};
 
@@ -65,11 +66,16 @@
     call: Arc<Call>,
     deadline: Time,
     outcome: JobOutcome,
+    /// Whether the target has the request and no outcome is known.
+    is_dispatched: bool,
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         let now = self.shared.now();
+        if self.is_dispatched {
+            rollouts::record_abandoned(&self.shared, self.call.route);
+        }
         {
             let mut target = self.shared.target.lock();
             target.queue.finish(now, self.key, self.outcome);
@@ -106,7 +112,9 @@
         call: call.clone(),
         deadline: job.deadline,
         outcome: JobOutcome::Unmeasured,
+        is_dispatched: false,
     };
+    rollouts::count_admitted(shared);
     if let Some(start_signal) = start_signal {
         let longest_wait = job.deadline.since(now).saturating_sub(time_needed);
         match tokio::time::timeout(longest_wait, start_signal).await {
@@ -164,6 +172,10 @@
             None => return Err(Code::Draining.into()),
         }
     }
+    if !shared.is_released(now) {
+        shared.metrics.count(Metric::RolloutRefusals);
+        return Err(Code::NotReleased.into());
+    }
     if shared.is_quarantined(now, || fingerprint(call)) {
         shared.metrics.count(Metric::QuarantineRefusals);
         return Err(Code::Quarantined.into());
@@ -201,6 +213,7 @@
         true => Reuse::Any,
         false => Reuse::UnlessSuspected,
     };
+    slot.is_dispatched = true;
     let remaining = slot.deadline.since(started_at);
     let mut memory = shared.response_bodies.account();
     let sent = shared
@@ -221,6 +234,8 @@
         Ok(Err(e)) => failed_outcome(shared, slot, e).await,
         Err(_) => Outcome::Failed(Failure::Timeout),
     };
+    slot.is_dispatched = false;
+    rollouts::record_outcome(shared, slot.call.route, now.since(started_at), &outcome);
     slot.outcome = job_outcome(&outcome);
     outcome
 }
@@ -439,6 +454,10 @@
         }
         (result, was_down)
     };
+    if result != ReportOutcome::Stale {
+        let is_new = result == ReportOutcome::NewLife;
+        rollouts::record_target(shared, now, &report.software, is_new);
+    }
     if result == ReportOutcome::NewLife {
         shared.upstream.reset();
         shared.health_check_due.notify_one();
--- /dev/null
+++ b/crates/proxy/src/deciding.rs
@@ -0,0 +1,439 @@
+//! Decisions on roll-outs, at the node that the reporting nodes have chosen.
+//!
+//! Each step is a record in a stream of the log that the nodes share. It is appended only if no other
+//! record has come since the last read, so that of two deciders one finds out and reads again. A
+//! step takes effect once it is recorded; a roll-back takes effect at once and is recorded then. A
+//! decider keeps nothing else that matters: a successor reads the step and hears the rest in reports.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use log::{info, warn};
+use ops::Metric;
+use plat::{LogError, encode_keyed};
+use rollout::{Decider, KnownOrder, Order, Reason, Report, Step};
+use serde::{Deserialize, Serialize};
+use wire::{Fingerprint, Offset, ServiceName, Time};
+
+use crate::rollouts::{ReportReply, Rollouts, learn_order};
+use crate::settings::RolloutStatus;
+use crate::shared::{Phase, Shared, sleep_unless_stopped};
+
+/// Time between checks whether a step is due.
+const DECIDE_INTERVAL: Duration = Duration::from_millis(150);
+/// Timeout of a call to the log.
+const LOG_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a node that could not reach the log leaves the decision to others.
+const UNABLE_TIME: Duration = Duration::from_secs(1);
+/// Time without a report after which a node no longer decides. Its reporters have chosen another one,
+/// or the roll-out has ended.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+
+/// Rank of a node in the choice of the decider, the highest first: by the speed of its link in
+/// megabits per second, then by rendezvous hashing, then by link address.
+pub(crate) type Rank = (u32, Fingerprint, SocketAddr);
+
+pub(crate) fn rank(service: &ServiceName, link: SocketAddr, link_mbps: u32) -> Rank {
+    let address = link.to_string();
+    let hash = Fingerprint::of(&[service.0.as_bytes(), address.as_bytes()]);
+    (link_mbps, hash, link)
+}
+
+/// A roll-out on which this node decides.
+#[derive(Debug)]
+pub(crate) enum Deciding {
+    /// The recorded step has to be read from the log.
+    Starting(Order),
+    /// The log could not be read.
+    Unable { until: Time },
+    /// Plans are made.
+    Active(Box<Active>),
+}
+
+/// State of the decision on one roll-out.
+#[derive(Debug)]
+pub(crate) struct Active {
+    decider: Decider,
+    /// The step in the log.
+    recorded: Step,
+    /// End of the stream of steps at the last read or append.
+    end: Offset,
+    /// Last status that the operators can read.
+    published: Option<RolloutStatus>,
+    reported_at: Time,
+}
+
+/// A recorded step.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct StepRecord {
+    order: Order,
+    step: Step,
+    /// Milliseconds from the order to the record, by the decider's clock.
+    age_ms: u64,
+    /// Wall-clock time of the record in milliseconds.
+    recorded_unix_ms: u64,
+}
+
+/// Receives a report of a node beside a target of the service.
+pub(crate) fn receive(shared: &Shared, known: &KnownOrder, report: Report) -> ReportReply {
+    let Some(rollouts) = &shared.rollouts else {
+        return ReportReply::Unable;
+    };
+    if shared.phase() != Phase::Serving {
+        return ReportReply::Unable;
+    }
+    learn_order(shared, &known.order, known.age);
+    let now = shared.now();
+    let service = &known.order.service;
+    let mut state = rollouts.state.lock();
+    let Some(order) = state.book.order(service).map(|(order, _)| order.clone()) else {
+        return ReportReply::Unable;
+    };
+    if report.order != order.id {
+        // The reporting node learns the newer order from a reader.
+        return ReportReply::Starting;
+    }
+    match state.deciding.get_mut(service) {
+        Some(Deciding::Active(active)) => {
+            if active.take_order(&order) {
+                active.reported_at = now;
+                let plan = active.decider.report(now, report);
+                if active.decider.step() != active.recorded {
+                    rollouts.decision_due.notify_one();
+                }
+                return ReportReply::Plan(plan);
+            }
+        }
+        Some(Deciding::Unable { until }) if now < *until => return ReportReply::Unable,
+        Some(Deciding::Starting(starting)) if starting.id == order.id => {
+            return ReportReply::Starting;
+        }
+        Some(Deciding::Unable { .. } | Deciding::Starting(_)) | None => {}
+    }
+    let starting = Deciding::Starting(order);
+    state.deciding.insert(service.clone(), starting);
+    rollouts.decision_due.notify_one();
+    ReportReply::Starting
+}
+
+impl Active {
+    /// Takes `order` if it is the one that is decided on, or repeats it. Returns whether it is.
+    fn take_order(&mut self, order: &Order) -> bool {
+        let present = self.decider.order();
+        if present.id == order.id {
+            return true;
+        }
+        let is_repeat =
+            present.target_version == order.target_version && !self.decider.step().is_final();
+        if is_repeat {
+            self.decider.adopt_repeat(order.clone());
+        }
+        is_repeat
+    }
+}
+
+/// Decides on the roll-outs for which this node gets reports, until the node stops.
+pub(crate) async fn decide(shared: Arc<Shared>) {
+    let Some(rollouts) = &shared.rollouts else {
+        return;
+    };
+    loop {
+        tokio::select! {
+            is_running = sleep_unless_stopped(&shared, DECIDE_INTERVAL) => if !is_running { return },
+            () = rollouts.decision_due.notified() => {}
+        }
+        let services: Vec<_> = rollouts.state.lock().deciding.keys().cloned().collect();
+        for service in services {
+            decide_on(&shared, rollouts, &service).await;
+        }
+    }
+}
+
+async fn decide_on(shared: &Shared, rollouts: &Rollouts, service: &ServiceName) {
+    let starting = match rollouts.state.lock().deciding.get(service) {
+        Some(Deciding::Starting(order)) => Some(order.clone()),
+        _ => None,
+    };
+    if let Some(order) = starting {
+        return start(shared, rollouts, order).await;
+    }
+    if let Some((step, reason, record)) = due_step(shared, rollouts, service) {
+        take_step(shared, rollouts, service, step, reason, record).await;
+    }
+    publish_status(shared, rollouts, service).await;
+}
+
+/// Reads the recorded step, or records the first one, and begins to decide.
+async fn start(shared: &Shared, rollouts: &Rollouts, order: Order) {
+    let started = match load(shared, rollouts, &order).await {
+        Ok((Some(record), end)) => Ok((record, end)),
+        Ok((None, end)) => {
+            let record = new_record(shared, rollouts, &order, Step::Canary);
+            let appended = append(shared, rollouts, &record, end).await;
+            appended.map(|end| (record, end))
+        }
+        Err(e) => Err(e),
+    };
+    let now = shared.now();
+    let service = order.service.clone();
+    let deciding = match started {
+        Ok((record, end)) => {
+            let step = record.step;
+            info!(event = "rollout_decider", service:% = order.service, target:% = order.target_version, step = step.as_str(); "this node decides on the roll-out");
+            let ordered_at = ordered_at(rollouts, &record, now);
+            let exposure = rollouts.settings.exposure;
+            Deciding::Active(Box::new(Active {
+                decider: Decider::new(order, exposure, ordered_at, step, now),
+                recorded: step,
+                end,
+                published: None,
+                reported_at: now,
+            }))
+        }
+        Err(e) => {
+            warn!(event = "rollout_log_failed", service:% = order.service, error:% = e; "cannot read or record the step of the roll-out; leaving the decision to other nodes");
+            Deciding::Unable {
+                until: now + UNABLE_TIME,
+            }
+        }
+    };
+    rollouts.state.lock().deciding.insert(service, deciding);
+}
+
+/// Returns when the order of `record` was given, by the earlier of this node's own knowledge and the
+/// record. The latter depends on the clocks of two machines, so it can be off by their difference.
+fn ordered_at(rollouts: &Rollouts, record: &StepRecord, now: Time) -> Time {
+    let known = rollouts.state.lock();
+    let known = known.book.order(&record.order.service).map(|(_, at)| at);
+    let since_record = unix_ms().saturating_sub(record.recorded_unix_ms);
+    let age_us = record
+        .age_ms
+        .saturating_add(since_record)
+        .saturating_mul(1_000);
+    let by_record = Time::from_micros(now.as_micros().saturating_sub(age_us));
+    known.map_or(by_record, |at| at.min(by_record))
+}
+
+fn unix_ms() -> u64 {
+    // A clock before 1970 counts as 1970.
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    since_epoch.as_millis() as u64
+}
+
+/// Returns a step that is due, with the reason and its record. Ends a decision without reports.
+fn due_step(
+    shared: &Shared,
+    rollouts: &Rollouts,
+    service: &ServiceName,
+) -> Option<(Step, Reason, StepRecord)> {
+    let now = shared.now();
+    let expected = expected_reports(shared, service);
+    let (step, reason, order) = {
+        let mut state = rollouts.state.lock();
+        let Some(Deciding::Active(active)) = state.deciding.get_mut(service) else {
+            return None;
+        };
+        let is_idle = now.since(active.reported_at) > IDLE_TIME;
+        let is_published = active.published == Some(RolloutStatus::from(active.recorded));
+        if is_idle && (is_published || !active.recorded.is_final()) {
+            state.deciding.remove(service);
+            return None;
+        }
+        let decider = &active.decider;
+        let (step, reason) = if decider.step() != active.recorded {
+            (decider.step(), Reason::Bad)
+        } else {
+            let next = decider.next(now, expected)?;
+            (next.step, next.reason)
+        };
+        (step, reason, decider.order().clone())
+    };
+    let record = new_record(shared, rollouts, &order, step);
+    Some((step, reason, record))
+}
+
+/// Returns the number of connected nodes of a service, this one included.
+fn expected_reports(shared: &Shared, service: &ServiceName) -> usize {
+    let own = usize::from(shared.service() == *service);
+    shared.peers.lock().count_of(service) + own
+}
+
+/// Records a step, and begins it once it is recorded.
+async fn take_step(
+    shared: &Shared,
+    rollouts: &Rollouts,
+    service: &ServiceName,
+    step: Step,
+    reason: Reason,
+    record: StepRecord,
+) {
+    let Some(end) = end_of(rollouts, service) else {
+        return;
+    };
+    let result = append(shared, rollouts, &record, end).await;
+    let now = shared.now();
+    match result {
+        Ok(end) => {
+            shared.metrics.count(Metric::RolloutSteps);
+            let mut state = rollouts.state.lock();
+            let Some(Deciding::Active(active)) = state.deciding.get_mut(service) else {
+                return;
+            };
+            let (bad, judged) = active.decider.bad_instances();
+            let (requests, exposed) = active.decider.exposure();
+            let age_ms = active.decider.age(now).as_millis() as u64;
+            info!(
+                event = "rollout_step", service:% = service, target:% = record.order.target_version,
+                step = step.as_str(), reason = reason.as_str(), age_ms, bad, judged, requests,
+                exposed;
+                "step of the roll-out taken"
+            );
+            active.recorded = step;
+            active.end = end;
+            if active.decider.step() != Step::RolledBack {
+                active.decider.enter(now, step);
+            }
+        }
+        Err(LogError::Conflict { .. }) => reload(shared, rollouts, service, &record.order).await,
+        Err(e) => {
+            warn!(event = "rollout_log_failed", service:% = service, step = step.as_str(), error:% = e; "cannot record the step of the roll-out; trying again");
+        }
+    }
+}
+
+fn end_of(rollouts: &Rollouts, service: &ServiceName) -> Option<Offset> {
+    match rollouts.state.lock().deciding.get(service)? {
+        Deciding::Active(active) => Some(active.end),
+        Deciding::Starting(_) | Deciding::Unable { .. } => None,
+    }
+}
+
+/// Takes over the recorded step after another node, or an append of this one whose reply was lost, has
+/// written to the stream.
+async fn reload(shared: &Shared, rollouts: &Rollouts, service: &ServiceName, order: &Order) {
+    let loaded = load(shared, rollouts, order).await;
+    let now = shared.now();
+    let mut state = rollouts.state.lock();
+    let Some(Deciding::Active(active)) = state.deciding.get_mut(service) else {
+        return;
+    };
+    match loaded {
+        Ok((record, end)) => {
+            active.end = end;
+            let Some(record) = record else { return };
+            active.recorded = record.step;
+            let is_pending_rollback =
+                active.decider.step() == Step::RolledBack && !record.step.is_final();
+            if !is_pending_rollback && active.decider.step() != record.step {
+                active.decider.enter(now, record.step);
+            }
+        }
+        Err(e) => {
+            warn!(event = "rollout_log_failed", service:% = service, error:% = e; "cannot read the step of the roll-out; trying again");
+        }
+    }
+}
+
+/// Writes the status for the operators if the recorded step has changed it.
+async fn publish_status(shared: &Shared, rollouts: &Rollouts, service: &ServiceName) {
+    let (status, order) = {
+        let state = rollouts.state.lock();
+        let Some(Deciding::Active(active)) = state.deciding.get(service) else {
+            return;
+        };
+        let status = RolloutStatus::from(active.recorded);
+        if active.published == Some(status) {
+            return;
+        }
+        (status, active.decider.order().clone())
+    };
+    let (key, value) = (rollouts.settings.encode_status)(&order, status);
+    let written = append_keyed(
+        shared,
+        &rollouts.settings.status_stream,
+        key.as_bytes(),
+        &value,
+    )
+    .await;
+    match written {
+        Ok(()) => {
+            info!(event = "rollout_status", service:% = service, target:% = order.target_version, status:? = status; "status of the roll-out written");
+            let mut state = rollouts.state.lock();
+            if let Some(Deciding::Active(active)) = state.deciding.get_mut(service) {
+                active.published = Some(status);
+            }
+        }
+        Err(e) => {
+            warn!(event = "rollout_log_failed", service:% = service, error:% = e; "cannot write the status of the roll-out; trying again");
+        }
+    }
+}
+
+fn new_record(shared: &Shared, rollouts: &Rollouts, order: &Order, step: Step) -> StepRecord {
+    let now = shared.now();
+    let state = rollouts.state.lock();
+    let learned_at = state.book.order(&order.service).map_or(now, |(_, at)| at);
+    StepRecord {
+        order: order.clone(),
+        step,
+        age_ms: now.since(learned_at).as_millis() as u64,
+        recorded_unix_ms: unix_ms(),
+    }
+}
+
+/// Reads the recorded step of an order and the end of the stream.
+async fn load(
+    shared: &Shared,
+    rollouts: &Rollouts,
+    order: &Order,
+) -> Result<(Option<StepRecord>, Offset), LogError> {
+    let log = &shared.settings.source.log;
+    let read = log.read_newest(&rollouts.settings.step_stream);
+    let newest = within_limit(read).await?;
+    let key = order.service.0.as_bytes();
+    let record = newest.records.iter().find(|r| *r.key == *key);
+    let record = record.and_then(|r| postcard::from_bytes::<StepRecord>(&r.value).ok());
+    let is_own = |r: &StepRecord| {
+        let is_repeat = r.order.target_version == order.target_version && !r.step.is_final();
+        r.order.id == order.id || is_repeat
+    };
+    Ok((record.filter(is_own), newest.end))
+}
+
+/// Appends a step to the stream if that still ends at `end`, and returns its new end.
+async fn append(
+    shared: &Shared,
+    rollouts: &Rollouts,
+    record: &StepRecord,
+    end: Offset,
+) -> Result<Offset, LogError> {
+    let value = postcard::to_stdvec(record).map_err(plat::no_response_error)?;
+    let key = record.order.service.0.as_bytes();
+    let data = encode_keyed(key, &value).map_err(plat::no_response_error)?;
+    shared.metrics.count(Metric::LogAppends);
+    let log = &shared.settings.source.log;
+    let stream = &rollouts.settings.step_stream;
+    let appended = within_limit(log.append_at(stream, end, vec![data])).await?;
+    Ok(appended.next())
+}
+
+async fn append_keyed(
+    shared: &Shared,
+    stream: &str,
+    key: &[u8],
+    value: &[u8],
+) -> Result<(), LogError> {
+    let data = encode_keyed(key, value).map_err(plat::no_response_error)?;
+    shared.metrics.count(Metric::LogAppends);
+    let log = &shared.settings.source.log;
+    within_limit(log.append(stream, vec![data])).await?;
+    Ok(())
+}
+
+async fn within_limit<T>(call: impl Future<Output = Result<T, LogError>>) -> Result<T, LogError> {
+    let reply = tokio::time::timeout(LOG_TIMEOUT, call).await;
+    reply.unwrap_or_else(|_| Err(plat::no_response_error("no reply in time")))
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `beside`, `upstream`, `read_limit`, `health`: the target side.
 //! - `link`, `message`, `peers`, `transfer`: connections to other nodes.
 //! - `source`, `readers`, `versions`: the log, which nodes read it, and the routing table in force.
+//! - `rollouts`, `deciding`: roll-outs of a service's version, at each node and at the one that decides.
 //! - `node`: start and graceful shutdown; `shared`: state shared by the tasks;
 //!   `body_memory`: the memory that bodies take.
 
@@ -17,6 +18,7 @@
 mod body_memory;
 mod caller;
 mod clock;
+mod deciding;
 mod departures;
 mod entry;
 mod health;
@@ -30,6 +32,7 @@
 mod read_limit;
 mod readers;
 mod remote;
+mod rollouts;
 mod settings;
 mod shared;
 mod source;
@@ -41,5 +44,5 @@
 pub use http1::{ReadAhead, ReadAheadError};
 pub use names::HeaderNames;
 pub use node::{Handle, Node, StartError};
-pub use settings::{Bounds, LogSource, Settings, TargetSettings};
+pub use settings::{Bounds, LogSource, RolloutSettings, RolloutStatus, Settings, TargetSettings};
 pub use versions::{DecodeVersion, VersionError};
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -11,6 +11,7 @@
 
 use futures_util::StreamExt;
 use parking_lot::Mutex;
+use rollout::{KnownOrder, Report};
 use route::TransitDelay;
 use socket2::SockRef;
 use tarpc::context::Context;
@@ -24,6 +25,7 @@
 use wire::{Code, Refusal};
 
 use crate::beside;
+use crate::deciding;
 use crate::departures;
 use crate::listen::accept_until;
 use crate::message::{
@@ -31,6 +33,7 @@
     VersionUpdate,
 };
 use crate::peers::PeerKey;
+use crate::rollouts::{self, ReportReply};
 use crate::shared::{Phase, Shared, sleep_unless_stopped};
 use crate::source;
 use crate::transfer::{Inbox, Part};
@@ -167,12 +170,19 @@
         let mut peers = self.shared.peers.lock();
         peers.record_version(announcement.link, announcement.version);
         drop(peers);
+        if announcement.can_read {
+            rollouts::learn_announced(&self.shared, &announcement.orders);
+        }
         if let Some(delta) = &announcement.delta {
             source::apply_announced_delta(&self.shared, announcement.version, delta);
         }
         note_version(&self.shared, announcement.version);
     }
 
+    async fn report_rollout(self, _: Context, known: KnownOrder, report: Report) -> ReportReply {
+        deciding::receive(&self.shared, &known, report)
+    }
+
     async fn update_from(self, _: Context, base_version: u64) -> Option<VersionUpdate> {
         self.shared.versions.update_from(base_version)
     }
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -10,11 +10,13 @@
 
 use admit::QueueState;
 use bytes::Bytes;
+use rollout::{KnownOrder, Report};
 use serde::{Deserialize, Serialize};
 use wire::{Code, Domain, Fingerprint, Load, Refusal, ServiceName, UnixMillis};
 
 use crate::body_memory::BodyMemory;
 use crate::names::HeaderField;
+use crate::rollouts::ReportReply;
 use crate::transfer::Part;
 
 /// Calls between nodes.
@@ -40,6 +42,8 @@
     /// Announces the version of the calling node, a reader, and whether its reads of the log
     /// succeed.
     async fn announce_reader(announcement: ReaderAnnouncement);
+    /// Reports to this node as the decider of the roll-out that `known` orders.
+    async fn report_rollout(known: KnownOrder, report: Report) -> ReportReply;
     /// Returns the update from version `base_version` to the newest one, or `None` if there is no
     /// newer one.
     async fn update_from(base_version: u64) -> Option<VersionUpdate>;
@@ -271,6 +275,8 @@
     /// Delta from the version of the reader's previous announcement; `None` if the version is the
     /// same or the reader no longer keeps the previous one.
     pub(crate) delta: Option<VersionUpdate>,
+    /// Orders of roll-outs that the reader knows.
+    pub(crate) orders: Vec<KnownOrder>,
 }
 
 /// Update to a newer version: an encoded [`config::RoutingDelta`] from an older version, or the
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 use wire::{Domain, ServiceName, Time};
 
+use crate::deciding;
 use crate::message::{DepartedIncarnation, LinkClient, Status};
 use crate::readers;
 
@@ -306,6 +307,30 @@
         recipients.filter_map(|p| p.client.clone()).collect()
     }
 
+    /// Returns the connected peers that may decide on the roll-out of a service, with their ranks.
+    pub(crate) fn decider_ranks(
+        &self,
+        service: &ServiceName,
+    ) -> Vec<(deciding::Rank, Option<LinkClient>)> {
+        let eligible = self.by_key.values().filter_map(|p| {
+            let status = p.status.as_ref()?;
+            let client = p.client.clone()?;
+            let is_eligible = status.version > 0 && !status.is_leaving;
+            let rank = || deciding::rank(service, p.link, status.link_mbps);
+            is_eligible.then(|| (rank(), Some(client)))
+        });
+        eligible.collect()
+    }
+
+    /// Returns the number of connected peers of a service.
+    pub(crate) fn count_of(&self, service: &ServiceName) -> usize {
+        let statuses = self.by_key.values().filter(|p| p.client.is_some());
+        statuses
+            .filter_map(|p| p.status.as_ref())
+            .filter(|s| s.service == *service)
+            .count()
+    }
+
     pub(crate) fn client(&self, key: PeerKey) -> Option<LinkClient> {
         self.by_key.get(key)?.client.clone()
     }
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -6,6 +6,7 @@
 
 use http1::ReadAhead;
 use plat::KeyedLog;
+use rollout::{ExposureCfg, Order, RawOrder, Step};
 use wire::{Domain, ServiceName};
 
 use crate::names::HeaderNames;
@@ -33,6 +34,8 @@
     pub bounds: Bounds,
     /// Log with the versions of the routing table and the addresses of the nodes.
     pub source: LogSource,
+    /// Roll-outs of a service's version; `None` for deployments whose operators order none.
+    pub rollouts: Option<RolloutSettings>,
 }
 
 /// Settings of the node's target.
@@ -81,6 +84,55 @@
     pub node_stream: String,
 }
 
+/// Where orders of roll-outs come from, where their state goes, and their bounds.
+#[derive(Clone)]
+pub struct RolloutSettings {
+    /// Start of the keys of orders in the stream of versions.
+    pub order_prefix: String,
+    /// Decodes an order. The error says what is wrong with the text.
+    pub decode_order: fn(&[u8]) -> Result<RawOrder, String>,
+    /// Stream in which the nodes record the step of each roll-out.
+    pub step_stream: String,
+    /// Stream in which the operators read the status of each roll-out.
+    pub status_stream: String,
+    /// Encodes the key and the value of a status.
+    pub encode_status: fn(&Order, RolloutStatus) -> (String, Vec<u8>),
+    /// Requests that a version may get before it has proved fit.
+    pub exposure: ExposureCfg,
+}
+
+/// Status of a roll-out for the operators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutStatus {
+    /// Neither ended nor rolled back.
+    Running,
+    /// All requests go to the new version, and the old targets may be stopped.
+    Succeeded,
+    /// All requests go to the old version.
+    RolledBack,
+}
+
+impl From<Step> for RolloutStatus {
+    fn from(step: Step) -> RolloutStatus {
+        match step {
+            Step::Canary | Step::Parallel | Step::Switch => RolloutStatus::Running,
+            Step::Succeeded => RolloutStatus::Succeeded,
+            Step::RolledBack => RolloutStatus::RolledBack,
+        }
+    }
+}
+
+impl std::fmt::Debug for RolloutSettings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("RolloutSettings")
+            .field("order_prefix", &self.order_prefix)
+            .field("step_stream", &self.step_stream)
+            .field("status_stream", &self.status_stream)
+            .field("exposure", &self.exposure)
+            .finish_non_exhaustive()
+    }
+}
+
 impl std::fmt::Debug for LogSource {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("LogSource")
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use rollout::Admission;
 use route::{AttemptAges, Budget, BudgetCfg, Quarantine, QuarantineCfg, RouteAverages, Splitter};
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
@@ -23,6 +24,7 @@
 use crate::message::{Call, DepartedIncarnation, Status};
 use crate::peers::{PeerKey, Peers};
 use crate::readers::{self, ReaderLiveness};
+use crate::rollouts::Rollouts;
 use crate::settings::{Settings, TargetSettings};
 use crate::transfer::Uploads;
 use crate::upstream::Upstream;
@@ -122,6 +124,8 @@
     pub(crate) response_bodies: Arc<BodyPool>,
     /// Bodies that peers have announced and whose requests have not started.
     pub(crate) uploads: Arc<Uploads>,
+    /// `None` if the operators of the deployment order no roll-outs.
+    pub(crate) rollouts: Option<Rollouts>,
     /// Number of the next body upload to a peer.
     transfers: AtomicU64,
     /// Requests of callers whose response is not completely written.
@@ -190,6 +194,7 @@
             request_bodies: BodyPool::new(settings.bounds.memory_bytes / BODY_MEMORY_DIVISOR),
             response_bodies: BodyPool::new(settings.bounds.memory_bytes / BODY_MEMORY_DIVISOR),
             uploads: Arc::default(),
+            rollouts: settings.rollouts.clone().map(Rollouts::new),
             transfers: AtomicU64::new(0),
             requests_in_progress: AtomicUsize::new(0),
             settings,
@@ -225,11 +230,15 @@
 
     /// Returns the state of the target's queue; with zero slots while the target takes no requests.
     pub(crate) fn own_queue(&self, now: Time) -> QueueState {
-        let target = self.target.lock();
-        let mut state = target.queue.state(now);
-        if target.own.usable_report().is_none() {
-            state.load.slots = 0;
-        }
+        let mut state = {
+            let target = self.target.lock();
+            let mut state = target.queue.state(now);
+            if target.own.usable_report().is_none() {
+                state.load.slots = 0;
+            }
+            state
+        };
+        state.load.slots = self.released_slots(now, state.load.slots);
         state
     }
 
@@ -313,13 +322,18 @@
     /// After a change in the target's state, sets the slots of the queue, opens or closes the
     /// queue, and announces the changed status to the peers.
     pub(crate) fn target_changed(&self, now: Time) {
+        let admission = self.admission(now);
         {
             let mut target = self.target.lock();
-            let slots = target.own.usable_report().map(|r| r.slots);
+            let slots = target.own.usable_report().map(|r| match admission {
+                Admission::Limited { slots, .. } => r.slots.min(slots),
+                Admission::Open | Admission::Closed => r.slots,
+            });
             if let Some(slots) = slots {
                 target.queue.set_slots(slots);
             }
-            target.queue.set_open(slots.is_some());
+            let is_open = slots.is_some() && admission != Admission::Closed;
+            target.queue.set_open(is_open);
         }
         self.settle(now);
         self.status_changed.notify_one();
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -21,6 +21,7 @@
 use crate::message::{ReaderAnnouncement, VersionUpdate};
 use crate::peers::PeerKey;
 use crate::readers::READER_ANNOUNCE_INTERVAL;
+use crate::rollouts;
 use crate::settings::Bounds;
 use crate::shared::{Phase, Shared, sleep_unless_stopped};
 use crate::versions::{Adoption, VersionError};
@@ -223,6 +224,7 @@
             version: announced_version,
             can_read,
             delta,
+            orders: rollouts::known_orders(&shared),
         };
         for client in shared
             .peers
@@ -277,6 +279,7 @@
     let Some(from) = from else {
         let read = source.log.read_newest(&source.version_stream);
         let newest = reply_within(times.newest_limit, read).await?;
+        rollouts::learn(shared, newest.records.iter());
         for record in newest.records.into_iter().filter(|r| r.key == key) {
             adopt(shared, &record.value, "log");
         }
@@ -293,14 +296,17 @@
         .last()
         .map_or(from.max(batch.end), |r| Offset(r.offset.0 + 1));
     let is_burst = batch.records.len() > 1;
-    // Of several versions only the newest readable one is applied.
-    let versions = batch.records.iter().rev().filter_map(|r| {
+    let records = batch.records.iter().filter_map(|r| {
         let keyed = decode_keyed(r.offset, &r.data);
         if let Err(e) = &keyed {
             log::warn!(event = "bad_record", offset = r.offset.0, error:% = e; "ignored");
         }
         keyed.ok()
     });
+    let records: Vec<_> = records.collect();
+    rollouts::learn(shared, records.iter());
+    // Of several versions only the newest readable one is applied.
+    let versions = records.iter().rev();
     for record in versions.filter(|r| r.key == key && !r.value.is_empty()) {
         if adopt(shared, &record.value, "log") {
             break;
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -206,6 +206,7 @@
                 decode,
                 node_stream: NODE_STREAM.into(),
             },
+            rollouts: None,
         };
         let metrics = Arc::new(Metrics::new(None).unwrap());
         let node = Node::start(settings, metrics).await?;
@@ -266,6 +267,7 @@
             slots,
             state,
             warmup_remaining: Duration::ZERO,
+            software: "v1".into(),
         };
         self.node().handle().apply_report(&report).await;
     }
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -97,6 +97,8 @@
     TargetDown = 204, Some(503), NO, "target down";
     /// The caller exceeds its fair share of the target.
     OverFairShare = 205, Some(429), NO, "over fair share";
+    /// A roll-out of the service does not let the target's software version run the request.
+    NotReleased = 206, Some(503), NO, "version not released";
     /// The target's connection broke after the hand-over.
     TargetLost = 301, Some(502), UNKNOWN, "target lost after hand-over";
     /// The target didn't respond in time after the hand-over.
@@ -127,6 +129,8 @@
     TextTooLarge = 504, None, None, "text too large";
     /// The configuration text names another mesh.
     TextForeign = 505, None, None, "text for another mesh";
+    /// An order of a roll-out can't be read or has a value out of range.
+    OrderInvalid = 506, None, None, "roll-out order not valid";
     /// A control message has an invalid MAC or an unknown key number.
     BadMac = 601, None, None, "bad MAC or unknown key";
     /// A control message belongs to another mesh.
