--- a/crates/proxy/src/rollouts.rs
+++ b/crates/proxy/src/rollouts.rs
@@ -6,6 +6,7 @@
 //! one without slots, so that entry nodes need not know of a roll-out.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::{info, warn};
@@ -158,7 +159,12 @@
         state.gate.record_target(now, &software.into(), is_new);
         has_changed && state.gate.running_order().is_some()
     };
-    refresh(shared, now);
+    if shared.is_log_readable.load(Ordering::Relaxed) {
+        // A reader gets each order from its long poll at once.
+        orders_known(shared);
+    } else {
+        refresh(shared, now);
+    }
     if is_running {
         rollouts.changed.notify_one();
     }
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -31,7 +31,7 @@
 pub(crate) const RECOVERY_TIME: Duration = Duration::from_secs(3);
 
 /// Memory of a test node.
-const MEMORY_BYTES: usize = 256 << 20;
+pub(crate) const MEMORY_BYTES: usize = 256 << 20;
 
 /// Attempts to bind free addresses at the start of a node.
 const MAX_BIND_ATTEMPTS: u32 = 5;
@@ -109,15 +109,58 @@
     target: SocketAddr,
     target_id: String,
     sequence: u64,
+    /// Version of the target's software in its reports.
+    pub(crate) software: &'static str,
 }
 
 /// Returns an address with a free port. Another process may bind it first, and the start of the
 /// node fails then.
-fn free_addr() -> SocketAddr {
+pub(crate) fn free_addr() -> SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
 }
 
+/// Returns the settings of the node of `target`, a target of `service`, with the link address
+/// `peer_addr`.
+pub(crate) fn settings(
+    log: &FakeKeyedLog,
+    target: SocketAddr,
+    peer_addr: SocketAddr,
+    service: &str,
+    memory_bytes: usize,
+) -> Settings {
+    Settings {
+        name: "test".into(),
+        caller_addr: free_addr(),
+        peer_addr,
+        domain: "d1".into(),
+        link_mbps: 100,
+        target: TargetSettings {
+            service: service.into(),
+            addr: target,
+        },
+        header_names: header_names(),
+        bounds: Bounds {
+            grace_period: Duration::from_secs(2),
+            retry_ratio: 0.2,
+            retry_window: Duration::from_secs(10),
+            retry_slack: 60.0,
+            apply_time: APPLY_TIME,
+            recovery_time: RECOVERY_TIME,
+            memory_bytes,
+            read_ahead: ReadAhead::default(),
+        },
+        source: LogSource {
+            log: Arc::new(log.clone()),
+            version_stream: VERSION_STREAM.into(),
+            version_key: VERSION_KEY.into(),
+            decode,
+            node_stream: NODE_STREAM.into(),
+        },
+        rollouts: None,
+    }
+}
+
 impl TestNode {
     /// Starts the node of `target`, a target of the service `desk`.
     pub(crate) async fn start(log: &FakeKeyedLog, target: SocketAddr) -> TestNode {
@@ -177,37 +220,13 @@
         service: &str,
         memory_bytes: usize,
     ) -> Result<TestNode, StartError> {
-        let caller_addr = free_addr();
-        let settings = Settings {
-            name: "test".into(),
-            caller_addr,
-            peer_addr,
-            domain: "d1".into(),
-            link_mbps: 100,
-            target: TargetSettings {
-                service: service.into(),
-                addr: target,
-            },
-            header_names: header_names(),
-            bounds: Bounds {
-                grace_period: Duration::from_secs(2),
-                retry_ratio: 0.2,
-                retry_window: Duration::from_secs(10),
-                retry_slack: 60.0,
-                apply_time: APPLY_TIME,
-                recovery_time: RECOVERY_TIME,
-                memory_bytes,
-                read_ahead: ReadAhead::default(),
-            },
-            source: LogSource {
-                log: Arc::new(log.clone()),
-                version_stream: VERSION_STREAM.into(),
-                version_key: VERSION_KEY.into(),
-                decode,
-                node_stream: NODE_STREAM.into(),
-            },
-            rollouts: None,
-        };
+        TestNode::start_with(settings(log, target, peer_addr, service, memory_bytes)).await
+    }
+
+    /// Starts a node with these settings.
+    pub(crate) async fn start_with(settings: Settings) -> Result<TestNode, StartError> {
+        let (caller_addr, peer_addr) = (settings.caller_addr, settings.peer_addr);
+        let target = settings.target.addr;
         let metrics = Arc::new(Metrics::new(None).unwrap());
         let node = Node::start(settings, metrics).await?;
         let target_id = format!("t{}", NEXT_ID.fetch_add(1, Ordering::SeqCst));
@@ -218,18 +237,21 @@
             target,
             target_id,
             sequence: 0,
+            software: "v1",
         })
     }
 
     /// Stops the node and starts it again at its link address, beside the same target.
     pub(crate) async fn restart(self, log: &FakeKeyedLog) -> TestNode {
         let (target, peer_addr) = (self.target, self.peer_addr);
-        let (target_id, sequence) = (self.target_id.clone(), self.sequence);
+        let (target_id, sequence, software) =
+            (self.target_id.clone(), self.sequence, self.software);
         self.stop().await;
         let started = TestNode::start_at(log, target, peer_addr, "desk").await;
         TestNode {
             target_id,
             sequence,
+            software,
             ..started
         }
     }
@@ -267,7 +289,7 @@
             slots,
             state,
             warmup_remaining: Duration::ZERO,
-            software: "v1".into(),
+            software: self.software.into(),
         };
         self.node().handle().apply_report(&report).await;
     }
@@ -275,9 +297,19 @@
     /// Waits until the node has a version, and reports its target as ready. Only the second report
     /// confirms the target, because its health endpoint does not.
     pub(crate) async fn serve(&mut self) {
+        self.serve_as("desk").await;
+    }
+
+    /// Like [`TestNode::serve`], for a target of `service`.
+    pub(crate) async fn serve_as(&mut self, service: &str) {
         wait_until("a version is in force", || self.is_ready()).await;
-        self.report(TargetState::Ready).await;
-        self.report(TargetState::Ready).await;
+        self.report_as(service, 4, TargetState::Ready).await;
+        self.report_as(service, 4, TargetState::Ready).await;
+    }
+
+    /// Ends the node's tasks and connections at once, like SIGKILL.
+    pub(crate) fn kill(&mut self) {
+        self.node = None;
     }
 
     pub(crate) async fn stop(mut self) {
@@ -367,6 +399,15 @@
         }
     }
 
+    /// Returns `None` if the node accepts no connection.
+    pub(crate) async fn try_connect(addr: SocketAddr) -> Option<Caller> {
+        let tcp = TcpStream::connect(addr).await.ok()?;
+        Some(Caller {
+            tcp,
+            buf: Vec::new(),
+        })
+    }
+
     pub(crate) async fn write(&mut self, raw: &[u8]) {
         self.tcp.write_all(raw).await.unwrap();
     }
--- /dev/null
+++ b/crates/proxy/tests/rollouts.rs
@@ -0,0 +1,304 @@
+//! Roll-outs over real connections between nodes, with one failure in each test.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use common::{
+    Caller, MEMORY_BYTES, TestNode, VERSION_STREAM, echo_path, free_addr, header_names, log_with,
+    ok_response, received_requests, script, settings,
+};
+use fakes::{FakeKeyedLog, KeyedFault, ReceivedRequest, ScriptedTarget, Step};
+use plat::KeyedLog;
+use proxy::{RolloutSettings, RolloutStatus, Settings};
+use rollout::{ExposureCfg, Order, RawOrder};
+use tokio::task::JoinSet;
+
+const STATUS_STREAM: &str = "status";
+/// Time that the orders give.
+const DURATION: Duration = Duration::from_secs(8);
+/// Longest wait for an outcome: the time of the order, and a log that was away for as long.
+const OUTCOME_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time in which no request may reach a closed version.
+const QUIET_TIME: Duration = Duration::from_millis(700);
+/// Time in which all nodes hear of a roll-back; the operators allow 5 s.
+const ROLLBACK_TIME: Duration = Duration::from_secs(1);
+const CALLERS: u64 = 8;
+const EXPOSURE: ExposureCfg = ExposureCfg {
+    share: 0.1,
+    slack: 50.0,
+};
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+/// Decodes `SERVICE VERSION SECONDS`.
+fn decode_order(text: &[u8]) -> Result<RawOrder, String> {
+    let text = std::str::from_utf8(text).map_err(|e| e.to_string())?;
+    let [service, version, secs] = text.split(' ').collect::<Vec<_>>()[..] else {
+        return Err("not three words".into());
+    };
+    Ok(RawOrder {
+        service: service.into(),
+        target_version: version.into(),
+        duration_s: secs.parse().map_err(|_| "bad duration")?,
+    })
+}
+
+fn encode_status(order: &Order, status: RolloutStatus) -> (String, Vec<u8>) {
+    let text = format!("{status:?} {}", order.target_version);
+    (order.service.to_string(), text.into_bytes())
+}
+
+fn rollout_settings() -> RolloutSettings {
+    RolloutSettings {
+        order_prefix: "order/".into(),
+        decode_order,
+        step_stream: "steps".into(),
+        status_stream: STATUS_STREAM.into(),
+        encode_status,
+        exposure: EXPOSURE,
+    }
+}
+
+/// Nodes of old and new targets, and two of another service, which decide before all others because of
+/// their faster links.
+struct Mesh {
+    log: FakeKeyedLog,
+    old: Vec<(TestNode, ScriptedTarget)>,
+    new: Vec<(TestNode, ScriptedTarget)>,
+    deciders: Vec<(TestNode, ScriptedTarget)>,
+    callers: JoinSet<()>,
+    /// Requests that got another response than 200, or none.
+    failed: Arc<AtomicU64>,
+}
+
+fn copy_of(s: &Settings) -> Settings {
+    Settings {
+        name: s.name.clone(),
+        domain: s.domain.clone(),
+        target: s.target.clone(),
+        header_names: header_names(),
+        source: s.source.clone(),
+        rollouts: s.rollouts.clone(),
+        ..*s
+    }
+}
+
+async fn start_node(
+    log: &FakeKeyedLog,
+    target: &ScriptedTarget,
+    (service, software, link_mbps): (&str, &'static str, u32),
+    peer_addr: SocketAddr,
+) -> TestNode {
+    let mut settings = settings(log, target.addr(), peer_addr, service, MEMORY_BYTES);
+    settings.rollouts = Some(rollout_settings());
+    settings.link_mbps = link_mbps;
+    let mut node = None;
+    while node.is_none() {
+        // The tasks of a killed node may still hold its address for a moment.
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        node = TestNode::start_with(copy_of(&settings)).await.ok();
+    }
+    let mut node = node.unwrap();
+    node.software = software;
+    node.serve_as(service).await;
+    node
+}
+
+impl Mesh {
+    /// Starts the nodes, orders the roll-out of `v2`, and starts its targets, which answer by `new`.
+    async fn start(new: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + 'static) -> Mesh {
+        let log = log_with(1);
+        let mut mesh = Mesh {
+            log: log.clone(),
+            old: Vec::new(),
+            new: Vec::new(),
+            deciders: Vec::new(),
+            callers: JoinSet::new(),
+            failed: Arc::default(),
+        };
+        for i in 0..2 {
+            let target = ScriptedTarget::start(false, echo_path()).await.unwrap();
+            let node = start_node(&log, &target, ("desk", "v1", 100), free_addr()).await;
+            mesh.old.push((node, target));
+            let target = ScriptedTarget::start(false, echo_path()).await.unwrap();
+            let kind = ("view", "v1", 1_000 - i);
+            let node = start_node(&log, &target, kind, free_addr()).await;
+            mesh.deciders.push((node, target));
+        }
+        let order = format!("desk v2 {}", DURATION.as_secs());
+        log.put(VERSION_STREAM, "order/desk", order.as_bytes());
+        let new = script(new);
+        for _ in 0..2 {
+            let target = ScriptedTarget::start(false, new.clone()).await.unwrap();
+            let node = start_node(&log, &target, ("desk", "v2", 100), free_addr()).await;
+            mesh.new.push((node, target));
+        }
+        mesh.start_callers().await;
+        mesh
+    }
+
+    /// Starts callers at the second node that may decide, which no test stops.
+    async fn start_callers(&mut self) {
+        let entry = self.deciders[1].0.caller_addr;
+        // The connections between the nodes may not be established yet.
+        while send(entry, 0).await != Some(200) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        for _ in 0..CALLERS {
+            let failed = self.failed.clone();
+            self.callers.spawn(async move {
+                loop {
+                    let id = NEXT_ID.fetch_add(1, Ordering::SeqCst);
+                    if send(entry, id).await != Some(200) {
+                        failed.fetch_add(1, Ordering::SeqCst);
+                    }
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            });
+        }
+    }
+
+    async fn status(&self) -> String {
+        // The log's fault applies to this read too.
+        let newest = self.log.read_newest(STATUS_STREAM).await;
+        let record = newest.ok().and_then(|n| n.records.into_iter().next());
+        record.map_or(String::new(), |r| String::from_utf8(r.value).unwrap())
+    }
+
+    async fn wait_for_status(&self, status: &str) {
+        let poll = async {
+            while self.status().await != status {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let reached = tokio::time::timeout(OUTCOME_TIMEOUT, poll).await;
+        let present = self.status().await;
+        assert!(reached.is_ok(), "the status is {present:?}, not {status:?}");
+    }
+
+    /// Checks that the targets get no request for a while.
+    async fn expect_quiet(targets: &[(TestNode, ScriptedTarget)]) {
+        let counts = || -> Vec<_> {
+            let targets = targets.iter().map(|(_, t)| received_requests(t).len());
+            targets.collect()
+        };
+        let before = counts();
+        tokio::time::sleep(QUIET_TIME).await;
+        assert_eq!(counts(), before, "requests reach a closed version");
+    }
+
+    fn requests(targets: &[(TestNode, ScriptedTarget)]) -> usize {
+        targets
+            .iter()
+            .map(|(_, t)| received_requests(t).len())
+            .sum()
+    }
+
+    fn expect_exposure_within_bound(&self) {
+        let new = Mesh::requests(&self.new);
+        let total = new + Mesh::requests(&self.old);
+        let bound = EXPOSURE.share * total as f64 + EXPOSURE.slack;
+        assert!(new as f64 <= bound, "{new} of {total} requests");
+    }
+}
+
+async fn send(entry: SocketAddr, id: u64) -> Option<u16> {
+    let mut caller = Caller::try_connect(entry).await?;
+    caller.send("GET", "/safe/a", &format!("r{id}"), "").await;
+    caller.response().await.map(|r| r.status)
+}
+
+fn good(req: &ReceivedRequest) -> Vec<Step> {
+    vec![Step::Send(ok_response(req, &req.path))]
+}
+
+/// Fails half of the requests.
+fn bad(req: &ReceivedRequest) -> Vec<Step> {
+    let id = req.header("x-id");
+    if id.ends_with(['0', '2', '4', '6', '8']) {
+        return good(req);
+    }
+    let head =
+        format!("HTTP/1.1 500 Error\r\nx-id: {id}\r\nx-proof: p\r\ncontent-length: 0\r\n\r\n");
+    vec![Step::Send(head.into_bytes())]
+}
+
+/// Guards against a good version that does not get all requests in time, and against requests that
+/// are lost at the old version when its targets are stopped.
+#[tokio::test]
+async fn a_good_version_succeeds_once_the_old_one_is_drained() {
+    let mesh = Mesh::start(good).await;
+    let started = tokio::time::Instant::now();
+    mesh.wait_for_status("Succeeded v2").await;
+    assert!(started.elapsed() < DURATION);
+    Mesh::expect_quiet(&mesh.old).await;
+    assert_eq!(mesh.failed.load(Ordering::SeqCst), 0, "requests failed");
+}
+
+/// Guards against a bad version that gets more than its share, or that is not rolled back.
+#[tokio::test]
+async fn a_bad_version_is_rolled_back() {
+    let mesh = Mesh::start(bad).await;
+    mesh.wait_for_status("RolledBack v2").await;
+    tokio::time::sleep(ROLLBACK_TIME).await;
+    Mesh::expect_quiet(&mesh.new).await;
+    mesh.expect_exposure_within_bound();
+}
+
+/// Guards against a roll-out that stays where it is when the node that decides is killed.
+#[tokio::test]
+async fn a_killed_decider_is_replaced() {
+    let mut mesh = Mesh::start(good).await;
+    mesh.wait_for_status("Running v2").await;
+    // Dropping a node ends its tasks and connections at once, like SIGKILL.
+    drop(mesh.deciders.remove(0));
+    mesh.wait_for_status("Succeeded v2").await;
+    Mesh::expect_quiet(&mesh.old).await;
+}
+
+/// Guards against a bad version that gets requests because the log is away from the begin of the
+/// roll-out until after its deadline, and against an outcome that is then not written.
+#[tokio::test]
+async fn a_bad_version_is_rolled_back_while_the_log_is_away() {
+    let mesh = Mesh::start(bad).await;
+    mesh.wait_for_status("Running v2").await;
+    mesh.log.set_fault(KeyedFault::RefusesCalls);
+    tokio::time::sleep(DURATION).await;
+    Mesh::expect_quiet(&mesh.new).await;
+    mesh.expect_exposure_within_bound();
+    mesh.log.set_fault(KeyedFault::None);
+    mesh.wait_for_status("RolledBack v2").await;
+}
+
+/// Guards against steps that are taken twice or not at all when the replies to appends are lost.
+#[tokio::test]
+async fn lost_replies_of_the_log_change_no_outcome() {
+    let mesh = Mesh::start(good).await;
+    mesh.log.set_fault(KeyedFault::LosesReplies);
+    mesh.wait_for_status("Succeeded v2").await;
+    Mesh::expect_quiet(&mesh.old).await;
+}
+
+/// Guards against a roll-out that is forgotten when all nodes of the service restart together, and
+/// against a version that gets more than its share then.
+#[tokio::test]
+async fn a_restart_of_all_nodes_keeps_the_roll_out() {
+    let mut mesh = Mesh::start(bad).await;
+    mesh.wait_for_status("Running v2").await;
+    let log = mesh.log.clone();
+    for (nodes, software) in [(&mut mesh.old, "v1"), (&mut mesh.new, "v2")] {
+        for (node, target) in nodes.iter_mut() {
+            let addr = node.peer_addr;
+            node.kill();
+            *node = start_node(&log, target, ("desk", software, 100), addr).await;
+        }
+    }
+    mesh.wait_for_status("RolledBack v2").await;
+    tokio::time::sleep(ROLLBACK_TIME).await;
+    Mesh::expect_quiet(&mesh.new).await;
+    mesh.expect_exposure_within_bound();
+}
