--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -33,6 +33,9 @@
 /// Shortest time from the start of an attempt to its hedge.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(30);
 
+/// Time between two rounds of attempts of a leaving node for a request that was cut off.
+const ROOM_WAIT: Duration = Duration::from_millis(100);
+
 /// Latency objective for the choice of an instance where the route sets none: that of a request
 /// which a person waits for. For `Pending::due` the entry node assumes its default timeout instead.
 const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
@@ -134,6 +137,9 @@
         );
         progress.loads = format_loads(&eligible);
         let Some(chosen) = chosen else {
+            if progress.wait_for_room(shared, pending).await {
+                continue;
+            }
             let refusal = progress.refusal.unwrap_or(Code::NoInstance.into());
             return progress.final_refusal(refusal, Some(time_to_slot));
         };
@@ -142,6 +148,9 @@
             .refusal
             .filter(|_| progress.refusals >= refusal_limit)
         {
+            if progress.wait_for_room(shared, pending).await {
+                continue;
+            }
             return progress.final_refusal(refusal, Some(time_to_slot));
         }
         let is_last = eligible.len() == 1 || progress.refusals + 1 >= refusal_limit;
@@ -372,18 +381,33 @@
 
 impl Progress {
     /// Returns whether the request may be sent once more; if so, a token of the retry budget is
-    /// spent.
+    /// spent. A node that shuts down needs none: it has few requests left, which must not be cut off
+    /// because hedges have spent the budget.
     fn may_send_again(&self, shared: &Shared, pending: &Pending) -> bool {
         let now = shared.now();
         let is_allowed = self.sends < pending.route.max_attempts
             && now < pending.deadline
-            && shared.try_spend_retry(now, &pending.call.service);
+            && (shared.phase() != Phase::Serving
+                || shared.try_spend_retry(now, &pending.call.service));
         if is_allowed {
             shared.metrics.count(Metric::Retries);
         }
         is_allowed
     }
 
+    /// Waits until the instances may be asked again for a request that was cut off in a run while this
+    /// node shuts down: its caller could not send it again here. Returns `false` for others.
+    async fn wait_for_room(&mut self, shared: &Shared, pending: &Pending) -> bool {
+        let is_cut_off = self.maybe_ran && pending.call.is_repeatable;
+        if shared.phase() == Phase::Serving || !is_cut_off || self.answer.is_some() {
+            return false;
+        }
+        tokio::time::sleep(ROOM_WAIT).await;
+        self.refusals = 0;
+        self.excluded.clear();
+        true
+    }
+
     fn final_answer(&self, answer: Answer) -> FinalOutcome {
         FinalOutcome::Answer {
             answer,
--- a/crates/proxy/tests/callers.rs
+++ b/crates/proxy/tests/callers.rs
@@ -243,3 +243,62 @@
     );
     shutdown.await.unwrap();
 }
+
+/// Guards against a request in progress that a leaving node gives up when the target that runs it
+/// ends. Before, the request got 502 at once: hedges had spent the retry budget, or the other
+/// instances had no free slot at that moment.
+#[tokio::test]
+async fn a_leaving_node_sends_a_request_again_whose_target_ends() {
+    let ending = script(|req| match req.path.as_str() {
+        "/safe/cut" => vec![Step::Wait(Duration::from_millis(300)), Step::Reset],
+        path => vec![Step::Send(ok_response(req, path))],
+    });
+    let ending = ScriptedTarget::start(false, ending).await.unwrap();
+    let busy = script(|req| {
+        let work = if req.path == "/safe/hold" { 700 } else { 0 };
+        let response = ok_response(req, &req.path);
+        vec![
+            Step::Wait(Duration::from_millis(work)),
+            Step::Send(response),
+        ]
+    });
+    let busy = ScriptedTarget::start(false, busy).await.unwrap();
+    let idle = ScriptedTarget::start(false, echo_path()).await.unwrap();
+    let log = log_with(1);
+    let mut busy_node = TestNode::start(&log, busy.addr()).await;
+    wait_until("a version is in force", || busy_node.is_ready()).await;
+    for _ in 0..2 {
+        busy_node.report_as("desk", 1, TargetState::Ready).await;
+    }
+    let mut ending_node = TestNode::start(&log, ending.addr()).await;
+    ending_node.serve().await;
+    let mut entry = TestNode::start_as(&log, idle.addr(), "view").await;
+    entry.serve_as("view").await;
+    // The entry node reaches both targets.
+    while received_requests(&ending).is_empty() || received_requests(&busy).is_empty() {
+        call(entry.caller_addr, "GET", "/safe/first", "").await;
+    }
+    let is_at = |target: &ScriptedTarget, path: &str| {
+        let received = received_requests(target);
+        received.iter().any(|r| r.path == path)
+    };
+    let hold = tokio::spawn({
+        let addr = busy_node.caller_addr;
+        async move { call(addr, "GET", "/safe/hold", "").await.status }
+    });
+    wait_until("the slot is taken", || {
+        is_at(&busy, "/safe/hold") || is_at(&ending, "/safe/hold")
+    })
+    .await;
+    let mut caller = Caller::connect(entry.caller_addr).await;
+    caller.send("GET", "/safe/cut", "cut", "").await;
+    wait_until("the request runs", || is_at(&ending, "/safe/cut")).await;
+    let shutdown = tokio::spawn(entry.stop());
+    let response = caller.response().await.expect("a response");
+    assert_eq!(
+        (response.status, response.body.as_str()),
+        (200, "/safe/cut")
+    );
+    assert_eq!(hold.await.unwrap(), 200);
+    shutdown.await.unwrap();
+}
