Bound the memory and the connections of a node

What a peer's response takes was counted only once it was complete, received bytes and connections were not counted, and a frame between nodes could have 72 MB.

Bodies of responses above 64 KB stay at the target-side node until the entry node has the memory for them and fetches them in parts; a body of declared length is waited for before it is read from the target; the state and the input of connections have a part of the memory of their own; frames have at most 8 MB. When memory runs short, the connection that holds most for longest without reading is closed; at the limit on connections, the longest idle one. Metric caller.evicted and one log line a second at most.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `classes`: learned classes and service times.
 //! - `concurrency`: the adaptive concurrency limit below the declared slots, and the cold-start
 //!   ramp.
+//! - `eviction`: choice of the connection to close when connections or memory run short.
 //! - `fair`: fair queueing between callers.
 //! - `limits`: declared limits of a target and parameters of [`Admission`].
 //! - `offer`: requests and decisions of [`Admission`].
@@ -22,6 +23,7 @@
 mod admission;
 mod classes;
 mod concurrency;
+mod eviction;
 mod fair;
 mod limits;
 mod offer;
@@ -31,6 +33,7 @@
 mod target_queue;
 
 pub use admission::Admission;
+pub use eviction::{ConnectionState, longest_idle, worst_holder};
 pub use limits::{Limits, Reserve, Tuning};
 pub use offer::{Class, Event, Finish, Offer, RequestKey, Verdict};
 pub use staged_body::{check_staged_body, transit_time};
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -383,6 +383,11 @@
         self.order.len() + self.output.len()
     }
 
+    /// Returns the received bytes that are not processed.
+    pub fn input_bytes(&self) -> usize {
+        self.input.len()
+    }
+
     /// Returns the bytes of responses that are not completely written.
     pub fn held_bytes(&self) -> usize {
         self.held_bytes
--- a/crates/ops/src/metrics.rs
+++ b/crates/ops/src/metrics.rs
@@ -77,6 +77,8 @@
     Strikes = Counter "quarantine.strike", "strikes";
     /// Requests refused because they are quarantined.
     QuarantineRefusals = Counter "quarantine.refused", "requests";
+    /// Connections of callers closed because connections or memory ran short.
+    CallersEvicted = Counter "caller.evicted", "connections";
     /// Calls refused because a roll-out does not release the target's version.
     RolloutRefusals = Counter "rollout.refused", "requests";
     /// Steps of roll-outs that this node has recorded as their decider.
--- a/crates/proxy/src/beside.rs
+++ b/crates/proxy/src/beside.rs
@@ -312,6 +312,7 @@
         status: received.status.as_u16(),
         headers: names::end_to_end(&received.headers, &hop_headers),
         body: received.body,
+        staged: None,
         _memory: Some(Arc::new(memory)),
     })
 }
--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -18,6 +18,7 @@
 use wire::{Code, Time};
 
 use crate::body_memory::BodyMemory;
+use crate::connections::Registration;
 use crate::entry::{self, Arrival};
 use crate::shared::{Phase, Shared};
 
@@ -25,6 +26,10 @@
 const READ_BYTES: usize = 16 << 10;
 /// Initial size of the read buffer: most requests are smaller.
 const INITIAL_READ_BYTES: usize = 2 << 10;
+/// Memory of an idle connection, and of a request in progress, without what was received and what is
+/// to be written.
+const CONNECTION_BYTES: usize = 3 << 10;
+const REQUEST_BYTES: usize = 8 << 10;
 /// Interval between checks whether the caller has disconnected while nothing is read from it.
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest time between two checks of the connection's timeouts.
@@ -34,12 +39,12 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Serves the requests on a connection until it ends.
-pub(crate) async fn serve(shared: Arc<Shared>, tcp: TcpStream) {
+pub(crate) async fn serve(shared: Arc<Shared>, tcp: TcpStream, registration: Registration) {
     if let Err(e) = tcp.set_nodelay(true) {
         log::debug!(event = "nodelay_failed", error:% = e; "could not set TCP_NODELAY on a caller's connection; closing it");
         return;
     }
-    let mut conn = CallerConn::new(&shared, tcp);
+    let mut conn = CallerConn::new(&shared, tcp, registration);
     if let Err(e) = conn.serve_requests().await {
         log::debug!(event = "caller_connection", error:% = e; "a caller's connection ended with an error");
         return;
@@ -69,7 +74,7 @@
 }
 
 impl<'a> CallerConn<'a> {
-    fn new(shared: &'a Arc<Shared>, tcp: TcpStream) -> CallerConn<'a> {
+    fn new(shared: &'a Arc<Shared>, tcp: TcpStream, registration: Registration) -> CallerConn<'a> {
         CallerConn {
             shared,
             tcp,
@@ -80,6 +85,8 @@
                 shared,
                 requests: 0,
                 memory: shared.response_bodies.account(),
+                state_memory: shared.connection_memory.account(),
+                registration,
             },
         }
     }
@@ -107,8 +114,7 @@
                 }
             }
             self.write_output(now)?;
-            self.account
-                .update(self.conn.unanswered(), self.conn.held_bytes());
+            self.account.update(now, &self.conn);
             if self.conn.is_finished() {
                 return Ok(());
             }
@@ -124,6 +130,9 @@
                     self.read_input()?;
                 }
                 ready = self.tcp.writable(), if self.conn.output().is_some() => ready?,
+                () = self.account.registration.evicted() => {
+                    return Err(Error::other("closed, as connections or memory ran short"));
+                }
                 () = &mut closing, if !is_closing => {
                     is_closing = true;
                     self.conn.close();
@@ -208,7 +217,10 @@
         };
         match read_available(&mut self.tcp, input, size)? {
             0 => {}
-            _ => self.conn.record_activity(now),
+            _ => {
+                self.conn.record_activity(now);
+                self.account.registration.record_activity(now);
+            }
         }
         Ok(())
     }
@@ -217,7 +229,10 @@
     fn write_output(&mut self, now: Time) -> Result<(), Error> {
         while let Some(bytes) = self.conn.output() {
             match self.tcp.try_write(bytes) {
-                Ok(len) => self.conn.record_written(now, len),
+                Ok(len) => {
+                    self.conn.record_written(now, len);
+                    self.account.registration.record_activity(now);
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(e) => return Err(e),
             }
@@ -290,23 +305,38 @@
 struct Account<'a> {
     shared: &'a Shared,
     requests: usize,
+    /// Bytes of responses that the connection holds.
     memory: BodyMemory,
+    /// Received bytes that are not processed, and the state of the connection and its requests.
+    state_memory: BodyMemory,
+    registration: Registration,
 }
 
 impl Account<'_> {
-    /// Sets the number of requests without a completely written response, and the bytes of
-    /// responses that the connection holds.
-    fn update(&mut self, requests: usize, bytes: usize) {
+    /// Sets the number of requests without a completely written response, and the bytes that the
+    /// connection holds.
+    fn update(&mut self, now: Time, conn: &Conn) {
+        let requests = conn.unanswered();
+        self.set_requests(requests);
+        let held = conn.held_bytes();
+        let state = CONNECTION_BYTES + requests * REQUEST_BYTES + conn.input_bytes();
+        self.memory.set(held);
+        self.state_memory.set(state);
+        let is_unread = conn.output().is_some();
+        self.registration
+            .update(now, held + conn.input_bytes(), requests, is_unread);
+    }
+
+    fn set_requests(&mut self, requests: usize) {
         let in_progress = &self.shared.requests_in_progress;
         // Wrapping subtraction makes one addition of a difference of either sign.
         in_progress.fetch_add(requests.wrapping_sub(self.requests), Ordering::Relaxed);
         self.requests = requests;
-        self.memory.set(bytes);
     }
 }
 
 impl Drop for Account<'_> {
     fn drop(&mut self) {
-        self.update(0, 0);
+        self.set_requests(0);
     }
 }
--- a/crates/proxy/src/health.rs
+++ b/crates/proxy/src/health.rs
@@ -77,6 +77,7 @@
     while crate::shared::sleep_unless_stopped(&shared, WATCH_INTERVAL).await {
         let now = shared.now();
         shared.upstream.drop_expired(now);
+        shared.outbox.drop_idle(now);
         let is_unresponsive = {
             let target = shared.target.lock();
             let oldest = target.queue.oldest_start();
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,17 +7,19 @@
 //! - `listen`, `caller`, `entry`, `attempts`, `remote`: the entry side, from the arrival of a caller's
 //!   request to the attempts at single instances.
 //! - `beside`, `upstream`, `read_limit`, `health`: the target side.
-//! - `link`, `message`, `peers`, `transfer`: connections to other nodes.
+//! - `link`, `message`, `peers`, `transfer`, `outbox`: connections to other nodes.
 //! - `source`, `readers`, `versions`: the log, which nodes read it, and the routing table in force.
 //! - `rollouts`, `deciding`: roll-outs of a service's version, at each node and at the one that decides.
 //! - `node`: start and graceful shutdown; `shared`: state shared by the tasks;
-//!   `body_memory`: the memory that bodies take.
+//!   `body_memory`: the memory that a node takes for others; `connections`: those of callers, and
+//!   which are closed when memory or descriptors run short.
 
 mod attempts;
 mod beside;
 mod body_memory;
 mod caller;
 mod clock;
+mod connections;
 mod deciding;
 mod departures;
 mod entry;
@@ -28,6 +30,7 @@
 mod message;
 mod names;
 mod node;
+mod outbox;
 mod peers;
 mod read_limit;
 mod readers;
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::StreamExt;
 use parking_lot::Mutex;
 use rollout::{KnownOrder, Report};
@@ -29,8 +30,8 @@
 use crate::departures;
 use crate::listen::accept_until;
 use crate::message::{
-    BodyReply, Call, HelloReply, Link, LinkClient, ReaderAnnouncement, Reply, Status, StrikeNotice,
-    VersionUpdate,
+    BodyReply, Call, HelloReply, Link, LinkClient, Outcome, ReaderAnnouncement, Reply, Status,
+    StrikeNotice, VersionUpdate,
 };
 use crate::peers::PeerKey;
 use crate::rollouts::{self, ReportReply};
@@ -38,8 +39,9 @@
 use crate::source;
 use crate::transfer::{Inbox, Part};
 
-/// Largest frame: the largest body that a configuration text may allow, and the headers around it.
-const MAX_FRAME_BYTES: usize = 72 << 20;
+/// Largest frame: the whole routing table with the largest number of routes that it may have. Large
+/// bodies are transferred in parts. The buffer of a connection may grow to this size.
+const MAX_FRAME_BYTES: usize = 8 << 20;
 /// Largest number of calls in flight on one connection; bounds the memory that a flood of calls
 /// from a peer takes.
 const MAX_IN_FLIGHT_CALLS: usize = 4_096;
@@ -151,11 +153,23 @@
             return beside::refusal_reply(&self.shared, &call, Code::QueueFull.into());
         };
         call.body = body;
-        let reply = beside::run(&self.shared, call).await;
+        let mut reply = beside::run(&self.shared, call).await;
         drop(memory);
+        if let Outcome::Answer(answer) = &mut reply.outcome {
+            self.shared.outbox.stage(self.shared.now(), answer);
+        }
         reply
     }
 
+    async fn response_part(self, _: Context, transfer: u64, index: u32) -> Option<Bytes> {
+        let now = self.shared.now();
+        self.shared.outbox.part(now, transfer, index)
+    }
+
+    async fn release_response(self, _: Context, transfer: u64) {
+        self.shared.outbox.release(transfer);
+    }
+
     async fn strike(self, _: Context, strike: StrikeNotice) {
         beside::record_strike(&self.shared, strike);
     }
@@ -190,7 +204,8 @@
 
 /// Accepts connections of other nodes until the node stops.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    let mut conns = accept_until(&shared, listener, Phase::Stopped, serve_connection).await;
+    let max = shared.settings.bounds.max_links;
+    let mut conns = accept_until(&shared, listener, max, serve_connection).await;
     conns.shutdown().await;
 }
 
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -37,6 +37,10 @@
     async fn withdraw_body(transfer: u64);
     /// Runs a request at the target of this node.
     async fn call(call: Call) -> Reply;
+    /// Returns a part of the body of a response that is staged at this node; `None` if there is none.
+    async fn response_part(transfer: u64, index: u32) -> Option<Bytes>;
+    /// Drops the body of a response that is staged at this node.
+    async fn release_response(transfer: u64);
     /// Notifies this node that a target died while it ran a request.
     async fn strike(strike: StrikeNotice);
     /// Announces the version of the calling node, a reader, and whether its reads of the log
@@ -147,7 +151,7 @@
     pub(crate) staged_body: Option<StagedBody>,
 }
 
-/// Identifies a body that was uploaded before its call.
+/// Identifies a body that is transferred apart from its call or response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct StagedBody {
     /// Number of the transfer, unique in the sending process.
@@ -223,7 +227,9 @@
     pub(crate) status: u16,
     pub(crate) headers: Vec<HeaderField>,
     pub(crate) body: Bytes,
-    /// The memory of the body at the target-side node, until the response is on its way.
+    /// Set if the body has to be fetched; `body` is empty then.
+    pub(crate) staged: Option<StagedBody>,
+    /// The memory of the body at this node.
     #[serde(skip)]
     pub(crate) _memory: Option<Arc<BodyMemory>>,
 }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -16,7 +16,7 @@
 
 use crate::settings::{Settings, TargetSettings};
 use crate::shared::{Phase, Shared};
-use crate::{beside, deciding, departures, health, link, listen, rollouts, source};
+use crate::{beside, connections, deciding, departures, health, link, listen, rollouts, source};
 
 /// Fraction of the grace period after which a leaving node asks callers to close their connections.
 /// By then, callers have seen two failed readiness checks, which are a second apart, and send no
@@ -85,6 +85,7 @@
         tasks.spawn(source::follow_versions(shared.clone()));
         tasks.spawn(source::fetch_announced_versions(shared.clone()));
         tasks.spawn(source::announce_as_reader(shared.clone()));
+        tasks.spawn(connections::relieve_memory(shared.clone()));
         tasks.spawn(rollouts::report(shared.clone()));
         tasks.spawn(deciding::decide(shared.clone()));
         tasks.spawn(health::confirm_incarnations(shared.clone()));
--- a/crates/proxy/src/remote.rs
+++ b/crates/proxy/src/remote.rs
@@ -8,6 +8,7 @@
 use crate::entry::Pending;
 use crate::link::context;
 use crate::message::{Call, Failure, LinkClient, Outcome, Reply, StagedBody, Times};
+use crate::outbox;
 use crate::peers::PeerKey;
 use crate::shared::Shared;
 use crate::transfer;
@@ -68,9 +69,24 @@
         }) => {
             let at_target = Duration::from_millis((times.queued_ms + times.target_ms).into());
             let transit = shared.now().since(sent_at).saturating_sub(at_target);
-            let mut peers = shared.peers.lock();
-            peers.update_queue(shared.now(), key, queue.into());
-            peers.record_transit(key, transit, body_bytes);
+            {
+                let mut peers = shared.peers.lock();
+                peers.update_queue(shared.now(), key, queue.into());
+                peers.record_transit(key, transit, body_bytes);
+            }
+            let outcome = match outcome {
+                Outcome::Answer(answer) => {
+                    let limit = pending.deadline.since(shared.now());
+                    match outbox::receive(shared, &client, answer, limit).await {
+                        Some(answer) => Outcome::Answer(answer),
+                        None => {
+                            log::info!(event = "response_not_fetched", id = pending.call.request_id.as_str(); "the body of a response could not be fetched from the target-side node; outcome unknown");
+                            Outcome::Failed(Failure::PeerLost)
+                        }
+                    }
+                }
+                other => other,
+            };
             (outcome, times)
         }
         Err(e) => {
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -65,6 +65,10 @@
     pub recovery_time: Duration,
     /// Memory that the process may use, in bytes.
     pub memory_bytes: usize,
+    /// Most connections of callers at a time.
+    pub max_callers: usize,
+    /// Most connections of peers at a time.
+    pub max_links: usize,
     /// How far requests that callers pipeline are read ahead, for each connection.
     pub read_ahead: ReadAhead,
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -20,8 +20,10 @@
 
 use crate::body_memory::BodyPool;
 use crate::clock::Clock;
+use crate::connections::Connections;
 use crate::latency::Latencies;
 use crate::message::{Call, DepartedIncarnation, Status};
+use crate::outbox::Outbox;
 use crate::peers::{PeerKey, Peers};
 use crate::readers::{self, ReaderLiveness};
 use crate::rollouts::Rollouts;
@@ -33,8 +35,8 @@
 /// Slots assumed until the target has reported its own number.
 const INITIAL_SLOTS: u32 = 1;
 /// The memory for the bodies of requests is the process's memory divided by this, as is that for the
-/// bodies of responses.
-const BODY_MEMORY_DIVISOR: usize = 4;
+/// bodies of responses and that for connections. The rest is for the process itself.
+const MEMORY_DIVISOR: usize = 4;
 /// Fraction of `Bounds::retry_ratio` that the nodes spend. A service that runs a retried request
 /// calls other services again, and those calls count as retries too. With this fraction, such calls
 /// and the retries of the services called stay below the whole ratio together.
@@ -122,6 +124,14 @@
     /// Memory for the bodies of responses until they are written. It is separate from that for
     /// requests, whose bodies would else cost other requests, which have run, their responses.
     pub(crate) response_bodies: Arc<BodyPool>,
+    /// Memory for connections of callers: received bytes that are not processed, and their state.
+    pub(crate) connection_memory: Arc<BodyPool>,
+    /// Notified when the memory for responses or for connections is used up.
+    pub(crate) memory_shortage: Arc<Notify>,
+    /// The connections of callers.
+    pub(crate) connections: Arc<Connections>,
+    /// Responses that peers may fetch.
+    pub(crate) outbox: Outbox,
     /// Bodies that peers have announced and whose requests have not started.
     pub(crate) uploads: Arc<Uploads>,
     /// `None` if the operators of the deployment order no roll-outs.
@@ -157,6 +167,8 @@
     ) -> Arc<Shared> {
         let mut rng = SmallRng::from_rng(&mut rand::rng());
         let boot_id = rng.next_u64();
+        let part_of_memory = settings.bounds.memory_bytes / MEMORY_DIVISOR;
+        let memory_shortage = Arc::new(Notify::new());
         Arc::new(Shared {
             clock: Clock,
             boot_id,
@@ -191,8 +203,13 @@
             target_losses: watch::Sender::new(0),
             tasks: TaskTracker::new(),
             sequence: AtomicU64::new(0),
-            request_bodies: BodyPool::new(settings.bounds.memory_bytes / BODY_MEMORY_DIVISOR),
-            response_bodies: BodyPool::new(settings.bounds.memory_bytes / BODY_MEMORY_DIVISOR),
+            // A shortage of memory for requests refuses them; no connection is closed for it.
+            request_bodies: BodyPool::new(part_of_memory, Arc::default()),
+            response_bodies: BodyPool::new(part_of_memory, memory_shortage.clone()),
+            connection_memory: BodyPool::new(part_of_memory, memory_shortage.clone()),
+            memory_shortage,
+            connections: Connections::new(settings.bounds.max_callers),
+            outbox: Outbox::default(),
             uploads: Arc::default(),
             rollouts: settings.rollouts.clone().map(Rollouts::new),
             transfers: AtomicU64::new(0),
@@ -208,7 +225,9 @@
 
     /// Returns whether there is memory for requests that wait for earlier ones of their caller.
     pub(crate) fn may_read_ahead(&self) -> bool {
-        self.request_bodies.is_half_free() && self.response_bodies.is_half_free()
+        self.request_bodies.is_half_free()
+            && self.response_bodies.is_half_free()
+            && self.connection_memory.is_half_free()
     }
 
     pub(crate) fn now(&self) -> Time {
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -309,12 +310,22 @@
     let mut body = body;
     let mut parts = Vec::new();
     let mut bytes = 0;
+    // Memory for a body of a declared length is waited for before it is read, so that the target's
+    // connection fills up meanwhile.
+    let declared = body.size_hint().exact().map(|len| len as usize);
+    if let Some(len) = declared {
+        let is_too_large = len > MAX_RESPONSE_BYTES || memory.wait_for(len).await.is_err();
+        if is_too_large {
+            log::warn!(event = "response_too_large", bytes = len, has_room = false; "target's response takes too much memory; connection closed, outcome unknown");
+            return Err(SendError::Broken);
+        }
+    }
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| SendError::Broken)?.into_data() else {
             continue;
         };
         bytes += data.len();
-        let has_room = memory.add(data.len() + size_of::<Bytes>()).is_ok();
+        let has_room = declared.is_some() || memory.add(data.len() + size_of::<Bytes>()).is_ok();
         if !has_room || bytes > MAX_RESPONSE_BYTES {
             log::warn!(event = "response_too_large", bytes, has_room; "target's response takes too much memory; connection closed, outcome unknown");
             return Err(SendError::Broken);
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -148,6 +148,8 @@
             apply_time: APPLY_TIME,
             recovery_time: RECOVERY_TIME,
             memory_bytes,
+            max_callers: 1_000,
+            max_links: 1_000,
             read_ahead: ReadAhead::default(),
         },
         source: LogSource {
