Write large responses without a copy, and retry only where a request was refused

Cause: a large response was copied behind its head, so that it took twice its size; mixed crowds took 106 MB of 96. And a leaving node that waits for room asked instances again at which the request had failed (seen once: 502 in a run of all tests of proxy), since both kinds of exclusion were cleared.

--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -71,7 +71,7 @@
     /// The same requests in the order in which they arrived.
     order: VecDeque<RequestKey>,
     /// Encoded responses that are not completely written.
-    output: VecDeque<Bytes>,
+    output: VecDeque<Chunk>,
     /// Bytes in `output`, and in responses that wait for earlier ones.
     held_bytes: usize,
     /// The request of a `Next` event that has not been returned.
@@ -84,6 +84,23 @@
     is_broken: bool,
 }
 
+/// A part of the output.
+#[derive(Debug)]
+struct Chunk {
+    bytes: Bytes,
+    /// Whether a response ends with it.
+    is_last: bool,
+}
+
+impl Chunk {
+    fn last(bytes: Bytes) -> Chunk {
+        Chunk {
+            bytes,
+            is_last: true,
+        }
+    }
+}
+
 /// What the next received bytes belong to.
 #[derive(Debug)]
 enum Reading {
@@ -302,9 +319,8 @@
             if closes {
                 self.stop_reading();
             }
-            let encoded = response::encode(&exchange.method, &response, closes);
-            self.held_bytes = self.held_bytes - response.body().len() + encoded.len();
-            self.output.push_back(encoded);
+            self.held_bytes -= response.body().len();
+            self.push_response(&exchange.method, response, closes);
         }
         self.send_continue();
         if let Some(&key) = self.order.front()
@@ -314,6 +330,24 @@
         }
     }
 
+    /// Appends a response to the output. A large body is not copied behind its head.
+    fn push_response(&mut self, method: &Method, response: Response<Bytes>, closes: bool) {
+        let mut encoded = response::encode(method, &response, closes);
+        self.held_bytes += encoded.head.len() + encoded.body.len();
+        if encoded.body.len() <= response::MAX_COPIED_BYTES {
+            encoded.head.extend_from_slice(&encoded.body);
+            encoded.body = Bytes::new();
+        }
+        let has_body = !encoded.body.is_empty();
+        self.output.push_back(Chunk {
+            bytes: encoded.head.freeze(),
+            is_last: !has_body,
+        });
+        if has_body {
+            self.output.push_back(Chunk::last(encoded.body));
+        }
+    }
+
     /// Sends the interim response to the request that is next, if it waits for that.
     fn send_continue(&mut self) {
         let Some(&key) = self.order.front() else {
@@ -322,13 +356,14 @@
         let exchange = &mut self.exchanges[key];
         if std::mem::take(&mut exchange.expects_continue) && !exchange.has_whole_body {
             self.held_bytes += CONTINUE.len();
-            self.output.push_back(Bytes::from_static(CONTINUE));
+            let interim = Chunk::last(Bytes::from_static(CONTINUE));
+            self.output.push_back(interim);
         }
     }
 
     /// Returns the bytes to write next.
     pub fn output(&self) -> Option<&[u8]> {
-        self.output.front().map(|b| &b[..])
+        self.output.front().map(|c| &c.bytes[..])
     }
 
     /// Records that `len` bytes of `output` were written.
@@ -336,8 +371,8 @@
         self.active_at = now;
         self.held_bytes -= len;
         if let Some(front) = self.output.front_mut() {
-            front.advance(len);
-            if front.is_empty() {
+            front.bytes.advance(len);
+            if front.bytes.is_empty() {
                 self.output.pop_front();
             }
         }
@@ -380,7 +415,7 @@
 
     /// Returns the number of requests whose responses are not completely written.
     pub fn unanswered(&self) -> usize {
-        self.order.len() + self.output.len()
+        self.order.len() + self.output.iter().filter(|c| c.is_last).count()
     }
 
     /// Returns the received bytes that are not processed.
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -17,4 +17,3 @@
 pub use conn::{Conn, Event, RequestKey};
 pub use head::{ParseError, RequestHead};
 pub use limits::{Limits, ReadAhead, ReadAheadError};
-pub use response::encode;
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -7,6 +7,11 @@
 /// Interim response to a request that waits for it before it sends its body.
 pub(crate) const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
+/// Size of the buffer for most heads.
+const HEAD_BYTES: usize = 256;
+/// Largest body that is copied behind its head, so that both are written with one call.
+pub(crate) const MAX_COPIED_BYTES: usize = 64 << 10;
+
 /// Headers that describe the connection or the framing; `encode` sets them itself.
 const HOP_BY_HOP: [HeaderName; 3] = [
     header::CONNECTION,
@@ -14,11 +19,24 @@
     header::TRANSFER_ENCODING,
 ];
 
+/// An encoded response.
+#[derive(Debug)]
+pub(crate) struct Encoded {
+    pub(crate) head: BytesMut,
+    /// Empty if the response has none.
+    pub(crate) body: Bytes,
+}
+
 /// Encodes the response to a request with `method`. With `closes`, it announces that the connection
 /// is closed after it.
-pub fn encode(method: &Method, response: &Response<Bytes>, closes: bool) -> Bytes {
+pub(crate) fn encode(method: &Method, response: &Response<Bytes>, closes: bool) -> Encoded {
     let (status, body) = (response.status(), response.body());
-    let mut out = BytesMut::with_capacity(256 + body.len());
+    let copied = if body.len() <= MAX_COPIED_BYTES {
+        body.len()
+    } else {
+        0
+    };
+    let mut out = BytesMut::with_capacity(HEAD_BYTES + copied);
     out.put_slice(b"HTTP/1.1 ");
     out.put_slice(status.as_str().as_bytes());
     out.put_u8(b' ');
@@ -41,10 +59,8 @@
         );
     }
     out.put_slice(b"\r\n");
-    if has_body {
-        out.put_slice(body);
-    }
-    out.freeze()
+    let body = if has_body { body.clone() } else { Bytes::new() };
+    Encoded { head: out, body }
 }
 
 fn put_field(out: &mut BytesMut, name: &str, value: &[u8]) {
--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -77,8 +77,10 @@
 /// State of a request across its attempts.
 #[derive(Debug, Default)]
 struct Progress {
-    /// Instances that get no further attempt.
+    /// Instances that have failed and get no further attempt.
     excluded: Vec<Destination>,
+    /// Instances that have refused the request.
+    refused_by: Vec<Destination>,
     /// Number of attempts that an instance refused before its target got the request.
     refusals: u32,
     /// Number of attempts in which a target got or may have got the request. A hedge counts when it
@@ -129,6 +131,7 @@
         let eligible: Vec<_> = candidates
             .into_iter()
             .filter(|c| !progress.excluded.contains(&c.key))
+            .filter(|c| !progress.refused_by.contains(&c.key))
             .collect();
         let chosen = choose_instance(
             &mut *shared.rng.lock(),
@@ -351,7 +354,7 @@
         }
         Outcome::Refused(r) => {
             let refusal = Refusal::from(r);
-            progress.excluded.push(destination);
+            progress.refused_by.push(destination);
             progress.refusals += 1;
             progress.refusal = Some(refusal);
             None
@@ -404,7 +407,7 @@
         }
         tokio::time::sleep(ROOM_WAIT).await;
         self.refusals = 0;
-        self.excluded.clear();
+        self.refused_by.clear();
         true
     }
 
