Serve organisations: keys, their revocation, and usage limits

The routing table carries organisations with hashes of their keys; the entry node checks the key, names the organisation to the target and passes no key on. Usage is counted at each node and added up at one; only organisations near their limits are divided by demand, and what was admitted too much is taken off.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,6 +16,7 @@
 mod id;
 mod incremental;
 mod limits;
+mod organisations;
 mod raw;
 mod record;
 mod rejection;
@@ -31,6 +32,9 @@
     MAX_BUFFERED_BYTES, MAX_BUFFERED_RECORDS, MAX_CHAIN_SERVICES, MAX_RECENT_IDS, MAX_ROUTES,
     MAX_SERVICES, MAX_TEXT_BYTES, TEXT_FORMAT,
 };
+pub use organisations::{
+    KeyDigest, Organisation, OrganisationError, OrganisationLimit, Organisations, RawOrganisation,
+};
 pub use record::{
     Checkpoint, Outcome, Publication, PublicationOutcome, RECORD_FORMAT, Record, RecordError,
 };
--- a/crates/config/src/routing.rs
+++ b/crates/config/src/routing.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use snafu::{Snafu, ensure};
+use snafu::{ResultExt, Snafu, ensure};
 use wire::{Fingerprint, ServiceName, Version};
 
+use crate::organisations::{OrganisationError, Organisations, RawOrganisation};
 use crate::snapshot::Repeat;
 
 /// Maximum number of routes in a table; bounds the memory of a node.
@@ -29,6 +30,8 @@
     pub services: Vec<RawService>,
     /// Limits on the requests and connections of callers.
     pub limits: CallerLimits,
+    /// Organisations with their keys; `None` if requests need no key.
+    pub organisations: Option<Vec<RawOrganisation>>,
 }
 
 /// A route as decoded from the operator's store, not yet validated.
@@ -54,6 +57,8 @@
     pub priority: u32,
     /// Maximum number of targets to which one request may be sent; 0 counts as 1.
     pub max_attempts: u32,
+    /// Whether requests need no key, although the table has organisations.
+    pub is_public: bool,
 }
 
 /// A service as decoded from the operator's store, not yet validated.
@@ -112,6 +117,12 @@
         /// Description of the fault.
         reason: &'static str,
     },
+    /// An organisation is invalid.
+    #[snafu(display("{source}"))]
+    Organisation {
+        /// Fault of the organisation.
+        source: OrganisationError,
+    },
     /// A route refers to a service that the table doesn't define.
     #[snafu(display("route {route:?} refers to service {service:?}, which is not in the table"))]
     UnknownService {
@@ -141,6 +152,8 @@
     pub priority: u32,
     /// Maximum number of targets to which one request may be sent; at least 1.
     pub max_attempts: u32,
+    /// Whether requests need no key, although the table has organisations.
+    pub is_public: bool,
 }
 
 /// A service of a validated routing table.
@@ -159,6 +172,7 @@
     pub(crate) routes: Routes,
     pub(crate) services: HashMap<ServiceName, RoutedService>,
     pub(crate) limits: CallerLimits,
+    pub(crate) organisations: Option<Arc<Organisations>>,
 }
 
 /// The routes of a table, by host and prefix. Tables of successive versions share the memory of equal
@@ -247,6 +261,7 @@
         route.priority.into(),
         route.max_attempts.into(),
         route.repeat as u64,
+        route.is_public.into(),
     ];
     let numbers = numbers.map(u64::to_le_bytes).concat();
     let mut parts = vec![
@@ -299,10 +314,19 @@
             routes,
             services,
             limits: raw.limits,
+            organisations: validate_organisations(raw.organisations.as_deref())?,
         })
     }
 }
 
+pub(crate) fn validate_organisations(
+    raw: Option<&[RawOrganisation]>,
+) -> Result<Option<Arc<Organisations>>, RoutingError> {
+    let Some(raw) = raw else { return Ok(None) };
+    let organisations = Organisations::try_from(raw).context(OrganisationSnafu)?;
+    Ok(Some(Arc::new(organisations)))
+}
+
 pub(crate) fn index_service(raw: RawService) -> (ServiceName, RoutedService) {
     let service = RoutedService {
         health_path: raw.health_path.into(),
@@ -351,6 +375,7 @@
         objective: raw.objective_ms.map(Duration::from_millis),
         priority: raw.priority,
         max_attempts: raw.max_attempts.max(1),
+        is_public: raw.is_public,
     })
 }
 
@@ -365,6 +390,11 @@
         self.limits
     }
 
+    /// Returns the organisations, or `None` if requests need no key.
+    pub fn organisations(&self) -> Option<&Arc<Organisations>> {
+        self.organisations.as_ref()
+    }
+
     /// Returns the service `name`, or `None` if the table doesn't define it.
     pub fn service(&self, name: &ServiceName) -> Option<&RoutedService> {
         self.services.get(name)
--- a/crates/config/src/routing_delta.rs
+++ b/crates/config/src/routing_delta.rs
@@ -11,9 +11,10 @@
 use snafu::{ResultExt, Snafu, ensure};
 use wire::{ServiceName, Version};
 
+use crate::organisations::RawOrganisation;
 use crate::routing::{
     CallerLimits, RawRoute, RawService, RoutedRoute, RoutedService, Routes, Routing, RoutingError,
-    index_service, validate_route,
+    index_service, validate_organisations, validate_route,
 };
 
 /// The changes that turn one routing table, the base, into a later one, the result.
@@ -26,17 +27,29 @@
     limits: CallerLimits,
     /// All services of the result.
     services: Vec<RawService>,
+    organisations: OrganisationsChange,
     /// Hosts and prefixes of the routes that the result lacks.
     removed: Vec<(String, String)>,
     /// Routes that are added or changed.
     upserted: Vec<RawRoute>,
 }
 
-/// Identifies the content of a table: its version and the sum of the fingerprints of its routes.
+/// What becomes of the organisations of the base.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum OrganisationsChange {
+    /// They stay.
+    Same,
+    /// The result has these.
+    Replaced(Option<Vec<RawOrganisation>>),
+}
+
+/// Identifies the content of a table: its version, the sum of the fingerprints of its routes, and that
+/// of its organisations, `None` if it has none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct TableIdentity {
     version: u64,
     fingerprint_sum: u64,
+    organisations: Option<u64>,
 }
 
 /// Reason why a delta can't be encoded, decoded or applied. The whole table has to be fetched
@@ -82,6 +95,7 @@
             result: new.into(),
             limits: new.limits,
             services: new.services.iter().map(raw_service).collect(),
+            organisations: OrganisationsChange::between(base, new),
             removed: removed
                 .map(|(host, prefix, _)| (host.to_owned(), prefix.to_owned()))
                 .collect(),
@@ -103,6 +117,12 @@
         ensure!(is_base, BaseMismatchSnafu);
         let base = base.filter(|_| self.base.is_some());
         let services: HashMap<_, _> = self.services.into_iter().map(index_service).collect();
+        let organisations = match &self.organisations {
+            OrganisationsChange::Same => base.and_then(|b| b.organisations.clone()),
+            OrganisationsChange::Replaced(raw) => {
+                validate_organisations(raw.as_deref()).context(InvalidSnafu)?
+            }
+        };
         let mut routes = base.map(|b| b.routes.clone()).unwrap_or_default();
         for (host, prefix) in &self.removed {
             ensure!(routes.remove(host, prefix), ResultMismatchSnafu);
@@ -117,6 +137,7 @@
             routes,
             services,
             limits: self.limits,
+            organisations,
         };
         ensure!(
             self.result == TableIdentity::from(&table),
@@ -162,7 +183,18 @@
         TableIdentity {
             version: table.version.0,
             fingerprint_sum: table.routes.fingerprint_sum(),
+            organisations: table.organisations.as_ref().map(|o| o.fingerprint()),
+        }
+    }
+}
+
+impl OrganisationsChange {
+    fn between(base: Option<&Routing>, new: &Routing) -> OrganisationsChange {
+        let is_same = base.is_some_and(|b| b.organisations == new.organisations);
+        if is_same {
+            return OrganisationsChange::Same;
         }
+        OrganisationsChange::Replaced(new.organisations.as_ref().map(|o| o.to_raw()))
     }
 }
 
@@ -216,5 +248,6 @@
         objective_ms: route.objective.map(ms),
         priority: route.priority,
         max_attempts: route.max_attempts,
+        is_public: route.is_public,
     }
 }
--- a/crates/config/tests/routing.rs
+++ b/crates/config/tests/routing.rs
@@ -13,6 +13,7 @@
         objective_ms: Some(300),
         priority: 1,
         max_attempts: 2,
+        is_public: false,
     }
 }
 
@@ -28,6 +29,7 @@
         routes,
         services: services.into(),
         limits: CallerLimits::default(),
+        organisations: None,
     }
     .try_into()
 }
--- a/crates/config/tests/routing_delta.rs
+++ b/crates/config/tests/routing_delta.rs
@@ -17,6 +17,7 @@
         objective_ms: None,
         priority: 1,
         max_attempts: 2,
+        is_public: false,
     }
 }
 
@@ -32,6 +33,7 @@
         routes,
         services: services.collect(),
         limits: CallerLimits::default(),
+        organisations: None,
     }
 }
 
--- a/crates/ops/src/metrics.rs
+++ b/crates/ops/src/metrics.rs
@@ -77,6 +77,10 @@
     Strikes = Counter "quarantine.strike", "strikes";
     /// Requests refused because they are quarantined.
     QuarantineRefusals = Counter "quarantine.refused", "requests";
+    /// Requests refused because their key is unknown or not confirmed.
+    KeyRefusals = Counter "organisation.key_refused", "requests";
+    /// Requests refused because their organisation has used up its limit.
+    UsageRefusals = Counter "organisation.over_limit", "requests";
     /// Connections of callers closed because connections or memory ran short.
     CallersEvicted = Counter "caller.evicted", "connections";
     /// Calls refused because a roll-out does not release the target's version.
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use config::RoutedRoute;
+use config::{Organisation, Organisations, RoutedRoute};
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http1::RequestHead;
 use ops::Metric;
@@ -18,6 +18,7 @@
 use crate::message::{Answer, Call};
 use crate::names;
 use crate::shared::{Phase, Shared};
+use crate::usage_limits::{self, Admitted};
 
 /// Timeout of a request for which neither the caller nor the route sets one. Without a
 /// latency objective of the route, `Pending::due` is this long after the first attempt.
@@ -25,6 +26,13 @@
 /// Largest Retry-After as a fraction of the time to the deadline: callers do not honour a longer
 /// one.
 const MAX_RETRY_AFTER_FRACTION: f64 = 0.33;
+/// Retry-After of a request whose key can't be confirmed: a proof may come with the next answer of a
+/// reader.
+const KEY_RETRY_AFTER: Duration = Duration::from_millis(800);
+/// Scheme of the keys, with the space behind it.
+const BEARER: &[u8] = b"Bearer ";
+/// Lowest priority of a route that counts within that of an organisation.
+const MAX_ROUTE_PRIORITY: u32 = 15;
 /// Smallest Retry-After; an earlier retry finds the same queue.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -41,6 +49,8 @@
     pub(crate) deadline: Time,
     /// The request as sent to a target-side node; each attempt sets the times in its copy.
     pub(crate) call: Call,
+    /// The part of the organisation's limit, if the request has an organisation.
+    pub(crate) admitted: Option<Admitted>,
     /// The memory of the body, held until the request has its response.
     _memory: BodyMemory,
 }
@@ -70,6 +80,13 @@
         Ok(pending) => {
             guard.service = Some(pending.call.service.clone());
             let final_outcome = attempts::run(&shared, &pending).await;
+            if let FinalOutcome::Refused {
+                maybe_ran: false, ..
+            } = &final_outcome
+                && let Some(admitted) = &pending.admitted
+            {
+                usage_limits::give_back(&shared, admitted);
+            }
             final_response(&shared, &pending, final_outcome, &id)
         }
         Err(refusal) => refusal_response(&shared, refusal, arrived_at, &id),
@@ -133,6 +150,10 @@
         .or_else(|| head.uri.authority().map(|a| a.as_str()))
         .unwrap_or_default();
     let route = table.find(host, head.uri.path()).ok_or(Code::NoRoute)?;
+    let organisation = match table.organisations() {
+        Some(all) if !route.is_public => Some(check_key(shared, all, &head.headers, arrived_at)?),
+        _ => None,
+    };
     let service = choose_service(shared, route).ok_or(Code::NoRoute)?;
     let header_names = &shared.settings.header_names;
     let caller_timeout = names::parse_millis(&head.headers, &header_names.remaining_ms)
@@ -146,14 +167,32 @@
     });
     let objective = route.objective.unwrap_or(DEFAULT_TIMEOUT);
     let due = arrived_at + objective.saturating_sub(age);
-    let mut headers = names::end_to_end(
-        &head.headers,
-        &[
-            &header_names.remaining_ms,
-            &header_names.expected_target,
-            &header_names.caller_service,
-        ],
-    );
+    let mut excluded = vec![
+        &header_names.remaining_ms,
+        &header_names.expected_target,
+        &header_names.caller_service,
+    ];
+    if table.organisations().is_some() {
+        // Keys end here, and only this node names the organisation.
+        excluded.extend([&header::AUTHORIZATION, &header_names.organisation]);
+    }
+    let mut headers = names::end_to_end(&head.headers, &excluded);
+    let admitted = match &organisation {
+        Some(organisation) => {
+            let name = Bytes::copy_from_slice(organisation.name.as_bytes());
+            headers.push((header_names.organisation.as_str().to_owned(), name));
+            let admitted = usage_limits::admit(shared, shared.now(), organisation);
+            Some(admitted.map_err(|refusal| {
+                shared.metrics.count(Metric::UsageRefusals);
+                let remaining = deadline.since(shared.now());
+                Refusal {
+                    retry_after: bounded_retry_after(refusal.retry_after, remaining),
+                    ..refusal
+                }
+            })?)
+        }
+        None => None,
+    };
     let caller = shared.service();
     headers.push((
         header_names.caller_service.as_str().to_owned(),
@@ -187,7 +226,11 @@
     let call = Call {
         service,
         route: Fingerprint::of(&[route.name.as_bytes()]).0,
-        priority: route.priority,
+        priority: priority(
+            table.organisations().is_some(),
+            organisation.as_deref(),
+            route,
+        ),
         due_ms: 0,
         remaining_ms: 0,
         is_repeatable,
@@ -213,10 +256,63 @@
         due: due.min(deadline),
         deadline,
         call,
+        admitted,
         _memory: memory,
     })
 }
 
+/// Returns the organisation that holds the key of a request.
+fn check_key(
+    shared: &Shared,
+    organisations: &Organisations,
+    headers: &HeaderMap,
+    now: Time,
+) -> Result<Arc<Organisation>, Refusal> {
+    let value = headers.get(header::AUTHORIZATION).map(|v| v.as_bytes());
+    let key = value.and_then(bearer_key);
+    let holder = key.and_then(|key| organisations.holder(key)).cloned();
+    // Whether the key is known or not, an outdated table can't tell.
+    if !shared.are_keys_confirmed(shared.now().max(now)) {
+        shared.metrics.count(Metric::KeyRefusals);
+        return Err(Refusal {
+            code: Code::KeyNotConfirmed,
+            retry_after: Some(KEY_RETRY_AFTER),
+        });
+    }
+    holder.ok_or_else(|| {
+        shared.metrics.count(Metric::KeyRefusals);
+        Code::UnknownKey.into()
+    })
+}
+
+/// Returns the key in the value of an `Authorization` header.
+fn bearer_key(value: &[u8]) -> Option<&[u8]> {
+    let (scheme, key) = value.split_at_checked(BEARER.len())?;
+    scheme
+        .eq_ignore_ascii_case(BEARER)
+        .then(|| key.trim_ascii())
+}
+
+/// Returns the priority of a request. That of its organisation goes before that of its route. Where
+/// there are organisations, a request without one is a call of running work, and goes first.
+fn priority(
+    has_organisations: bool,
+    organisation: Option<&Organisation>,
+    route: &RoutedRoute,
+) -> u32 {
+    let of_route = route.priority.min(MAX_ROUTE_PRIORITY);
+    match organisation {
+        None if has_organisations => 0,
+        None => route.priority,
+        Some(o) => {
+            o.priority
+                .unwrap_or(0)
+                .saturating_mul(MAX_ROUTE_PRIORITY + 1)
+                + of_route
+        }
+    }
+}
+
 fn choose_service(shared: &Shared, route: &RoutedRoute) -> Option<ServiceName> {
     let mut splitter = shared.splitter.lock();
     splitter.choose(&route.name, &route.weighted_services, shared.boot_id)
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `link`, `message`, `peers`, `transfer`, `outbox`: connections to other nodes.
 //! - `source`, `readers`, `versions`: the log, which nodes read it, and the routing table in force.
 //! - `rollouts`, `deciding`: roll-outs of a service's version, at each node and at the one that decides.
+//! - `freshness`, `usage_limits`: keys and usage limits of organisations.
 //! - `node`: start and graceful shutdown; `shared`: state shared by the tasks;
 //!   `body_memory`: the memory that a node takes for others; `connections`: those of callers, and
 //!   which are closed when memory or descriptors run short.
@@ -23,6 +24,7 @@
 mod deciding;
 mod departures;
 mod entry;
+mod freshness;
 mod health;
 mod latency;
 mod link;
@@ -41,6 +43,7 @@
 mod source;
 mod transfer;
 mod upstream;
+mod usage_limits;
 mod versions;
 
 pub use clock::Clock;
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -23,11 +23,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
+use usage::{Grant, UsageCount};
 use wire::{Code, Refusal};
 
 use crate::beside;
 use crate::deciding;
 use crate::departures;
+use crate::freshness;
 use crate::listen::accept_until;
 use crate::message::{
     BodyReply, Call, HelloReply, Link, LinkClient, Outcome, ReaderAnnouncement, Reply, Status,
@@ -38,6 +40,7 @@
 use crate::shared::{Phase, Shared, sleep_unless_stopped};
 use crate::source;
 use crate::transfer::{Inbox, Part};
+use crate::usage_limits;
 
 /// Largest frame: the whole routing table with the largest number of routes that it may have. Large
 /// bodies are transferred in parts. The buffer of a connection may grow to this size.
@@ -197,6 +200,19 @@
         deciding::receive(&self.shared, &known, report)
     }
 
+    async fn newest_version(self, _: Context) -> Option<(u64, Duration)> {
+        freshness::newest_version(&self.shared)
+    }
+
+    async fn report_usage(
+        self,
+        _: Context,
+        link: SocketAddr,
+        counts: Vec<UsageCount>,
+    ) -> Option<Vec<Grant>> {
+        usage_limits::receive(&self.shared, link, &counts)
+    }
+
     async fn update_from(self, _: Context, base_version: u64) -> Option<VersionUpdate> {
         self.shared.versions.update_from(base_version)
     }
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use rollout::{KnownOrder, Report};
 use serde::{Deserialize, Serialize};
+use usage::{Grant, UsageCount};
 use wire::{Code, Domain, Fingerprint, Load, Refusal, ServiceName, UnixMillis};
 
 use crate::body_memory::BodyMemory;
@@ -48,6 +49,11 @@
     async fn announce_reader(announcement: ReaderAnnouncement);
     /// Reports to this node as the decider of the roll-out that `known` orders.
     async fn report_rollout(known: KnownOrder, report: Report) -> ReportReply;
+    /// Returns the version in force at this node, and the time since that was known to be the newest.
+    async fn newest_version() -> Option<(u64, Duration)>;
+    /// Reports the usage of organisations at the node with this link address, to this node, which adds
+    /// it up; returns what that node may admit. `None` if this node has no limits.
+    async fn report_usage(link: SocketAddr, counts: Vec<UsageCount>) -> Option<Vec<Grant>>;
     /// Returns the update from version `base_version` to the newest one, or `None` if there is no
     /// newer one.
     async fn update_from(base_version: u64) -> Option<VersionUpdate>;
--- a/crates/proxy/src/names.rs
+++ b/crates/proxy/src/names.rs
@@ -19,6 +19,8 @@
     pub not_run: HeaderName,
     /// Service of the instance on which the request originated.
     pub caller_service: HeaderName,
+    /// Name of the organisation that holds the key of the request; set by the node.
+    pub organisation: HeaderName,
     /// Load that the target reports in its response.
     pub load: HeaderName,
     /// Id of the target that responds.
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -16,7 +16,10 @@
 
 use crate::settings::{Settings, TargetSettings};
 use crate::shared::{Phase, Shared};
-use crate::{beside, connections, deciding, departures, health, link, listen, rollouts, source};
+use crate::{
+    beside, connections, deciding, departures, freshness, health, link, listen, rollouts, source,
+    usage_limits,
+};
 
 /// Fraction of the grace period after which a leaving node asks callers to close their connections.
 /// By then, callers have seen two failed readiness checks, which are a second apart, and send no
@@ -86,6 +89,8 @@
         tasks.spawn(source::fetch_announced_versions(shared.clone()));
         tasks.spawn(source::announce_as_reader(shared.clone()));
         tasks.spawn(connections::relieve_memory(shared.clone()));
+        tasks.spawn(freshness::keep_fresh(shared.clone()));
+        tasks.spawn(usage_limits::report(shared.clone()));
         tasks.spawn(rollouts::report(shared.clone()));
         tasks.spawn(deciding::decide(shared.clone()));
         tasks.spawn(health::confirm_incarnations(shared.clone()));
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -25,6 +25,9 @@
 /// unknown outcome.
 const EXCLUDED_AFTER: Duration = Duration::from_millis(600);
 
+/// Time for which a lost peer counts as one that may be cut off rather than gone.
+const LOST_FOR: Duration = Duration::from_secs(60);
+
 /// Number of peers in other failure domains to which a reader announces versions.
 const MAX_FAR_RECIPIENTS: usize = 2;
 
@@ -322,6 +325,38 @@
         eligible.collect()
     }
 
+    /// Returns the connected peers that probably read the log, those of the highest rank in `domain`
+    /// first.
+    pub(crate) fn readers(&self, domain: &Domain) -> Vec<LinkClient> {
+        let mut all: Vec<_> = self
+            .by_key
+            .values()
+            .filter_map(|p| {
+                let s = p
+                    .status
+                    .as_ref()
+                    .filter(|s| s.version > 0 && !s.is_leaving)?;
+                let rank = readers::rank(&s.domain, p.link, s.link_mbps);
+                Some((s.domain != *domain, Reverse(rank), p.client.clone()?))
+            })
+            .collect();
+        all.sort_by_key(|(is_far, rank, _)| (*is_far, *rank));
+        all.into_iter().map(|(_, _, client)| client).collect()
+    }
+
+    /// Returns whether this node is connected to more than half of the nodes that it has known for the
+    /// last while, itself included.
+    pub(crate) fn has_majority(&self, now: Time) -> bool {
+        let connected = self.by_key.values().filter(|p| p.client.is_some()).count();
+        let lost = self
+            .by_key
+            .values()
+            .filter(|p| p.client.is_none() && p.updated_at > Time::ZERO)
+            .filter(|p| now.since(p.updated_at) < LOST_FOR)
+            .count();
+        2 * (connected + 1) > connected + lost + 1
+    }
+
     /// Returns the number of connected peers of a service.
     pub(crate) fn count_of(&self, service: &ServiceName) -> usize {
         let statuses = self.by_key.values().filter(|p| p.client.is_some());
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -69,6 +69,9 @@
     pub max_callers: usize,
     /// Most connections of peers at a time.
     pub max_links: usize,
+    /// Time from the publication of a version that takes a key away until no request with that key may
+    /// run; `None` if only `apply_time` holds.
+    pub revoke_time: Option<Duration>,
     /// How far requests that callers pipeline are read ahead, for each connection.
     pub read_ahead: ReadAhead,
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -16,11 +16,13 @@
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::task::TaskTracker;
+use usage::{Ledger, LocalUsage};
 use wire::{Fingerprint, Refusal, ServiceName, Time};
 
 use crate::body_memory::BodyPool;
 use crate::clock::Clock;
 use crate::connections::Connections;
+use crate::freshness::Freshness;
 use crate::latency::Latencies;
 use crate::message::{Call, DepartedIncarnation, Status};
 use crate::outbox::Outbox;
@@ -132,6 +134,11 @@
     pub(crate) connections: Arc<Connections>,
     /// Responses that peers may fetch.
     pub(crate) outbox: Outbox,
+    /// When the table in force was last known to be the newest.
+    pub(crate) freshness: Mutex<Freshness>,
+    /// Usage of organisations at this node, and that of all nodes if this one adds it up.
+    pub(crate) usage: Mutex<LocalUsage>,
+    pub(crate) usage_ledger: Mutex<Ledger>,
     /// Bodies that peers have announced and whose requests have not started.
     pub(crate) uploads: Arc<Uploads>,
     /// `None` if the operators of the deployment order no roll-outs.
@@ -210,6 +217,9 @@
             memory_shortage,
             connections: Connections::new(settings.bounds.max_callers),
             outbox: Outbox::default(),
+            freshness: Mutex::default(),
+            usage: Mutex::default(),
+            usage_ledger: Mutex::default(),
             uploads: Arc::default(),
             rollouts: settings.rollouts.clone().map(Rollouts::new),
             transfers: AtomicU64::new(0),
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -36,6 +36,9 @@
 /// Reading a version again after a lost call, and its way to all nodes, take at most
 /// `Bounds::apply_time` divided by this.
 const SPREAD_TIME_DIVISOR: u32 = 4;
+/// A long poll takes at most `Bounds::revoke_time` divided by this: its end proves that no key has been
+/// taken away, and one lost poll and the way to all nodes have to fit in too.
+const REVOKE_POLL_DIVISOR: u32 = 5;
 /// Backoff after the first failed call to the log.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest backoff after failed calls, well within the 2 s in which a version must be applied after
@@ -177,8 +180,11 @@
         let spread_time = bounds.apply_time / SPREAD_TIME_DIVISOR;
         let limit = bounds.recovery_time.saturating_sub(spread_time);
         let wait = limit.saturating_sub(MIN_BACKOFF + POLL_MARGIN);
+        let longest = bounds
+            .revoke_time
+            .map_or(MAX_POLL_WAIT, |t| t / REVOKE_POLL_DIVISOR);
         ReadTimes {
-            poll_wait: wait.clamp(MIN_READ_TIME, MAX_POLL_WAIT),
+            poll_wait: wait.min(longest).clamp(MIN_READ_TIME, MAX_POLL_WAIT),
             newest_limit: limit.saturating_sub(MAX_BACKOFF).max(MIN_READ_TIME),
         }
     }
@@ -278,10 +284,15 @@
     let key = source.version_key.as_bytes();
     let Some(from) = from else {
         let read = source.log.read_newest(&source.version_stream);
+        let asked_at = shared.now();
         let newest = reply_within(times.newest_limit, read).await?;
         rollouts::learn(shared, newest.records.iter());
+        let mut is_usable = true;
         for record in newest.records.into_iter().filter(|r| r.key == key) {
-            adopt(shared, &record.value, "log");
+            is_usable &= adopt(shared, &record.value, "log");
+        }
+        if is_usable {
+            shared.freshness.lock().record(asked_at);
         }
         return Ok(ReadResult {
             next_offset: newest.end,
@@ -289,6 +300,7 @@
         });
     };
     let wait = times.poll_wait;
+    let asked_at = shared.now();
     let read = source.log.read(&source.version_stream, from, wait);
     let batch = reply_within(wait + POLL_MARGIN, read).await?;
     let next_offset = batch
@@ -307,11 +319,23 @@
     rollouts::learn(shared, records.iter());
     // Of several versions only the newest readable one is applied.
     let versions = records.iter().rev();
+    let mut is_usable = true;
     for record in versions.filter(|r| r.key == key && !r.value.is_empty()) {
-        if adopt(shared, &record.value, "log") {
+        is_usable = adopt(shared, &record.value, "log");
+        if is_usable {
             break;
         }
     }
+    if is_usable {
+        // A reply without records says that there were none when its wait had ended.
+        let waited = if records.is_empty() {
+            wait
+        } else {
+            Duration::ZERO
+        };
+        let at = (asked_at + waited).min(shared.now());
+        shared.freshness.lock().record(at);
+    }
     Ok(ReadResult {
         next_offset,
         is_burst,
--- /dev/null
+++ b/crates/proxy/src/usage_limits.rs
@@ -0,0 +1,118 @@
+//! Usage limits of organisations: admission at this node, reports to the node that adds them up, and
+//! the sums if this is that node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::Organisation;
+use usage::{Grant, UsageCount, UsageLimit};
+use wire::{Code, Refusal, ServiceName, Time};
+
+use crate::deciding;
+use crate::link::context;
+use crate::message::LinkClient;
+use crate::shared::{Phase, Shared, sleep_unless_stopped};
+
+/// Time between two reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Timeout of a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Stands for a service in the rank of the node that adds up.
+const RANK_NAME: &str = "usage limits";
+
+/// An admitted request. It counts against the limit unless it is given back.
+#[derive(Debug)]
+pub(crate) struct Admitted(Option<u64>);
+
+/// Decides whether a request of an organisation is within its limit.
+pub(crate) fn admit(
+    shared: &Shared,
+    now: Time,
+    organisation: &Organisation,
+) -> Result<Admitted, Refusal> {
+    let Some(limit) = organisation.limit.map(to_limit) else {
+        return Ok(Admitted(None));
+    };
+    let nodes = shared.peers.lock().len() + 1;
+    let mut usage = shared.usage.lock();
+    match usage.admit(now, organisation.id, limit, nodes) {
+        Ok(()) => Ok(Admitted(Some(organisation.id))),
+        Err(wait) => Err(Refusal {
+            code: Code::OverUsageLimit,
+            retry_after: Some(wait),
+        }),
+    }
+}
+
+/// Takes back a request that was refused without a run.
+pub(crate) fn give_back(shared: &Shared, admitted: &Admitted) {
+    if let Some(organisation) = admitted.0 {
+        shared.usage.lock().give_back(organisation);
+    }
+}
+
+fn to_limit(limit: config::OrganisationLimit) -> UsageLimit {
+    UsageLimit {
+        milli_per_s: limit.milli_per_s,
+        burst: limit.burst,
+    }
+}
+
+/// Reports this node's usage while the table has limits, until the node stops.
+pub(crate) async fn report(shared: Arc<Shared>) {
+    while sleep_unless_stopped(&shared, REPORT_INTERVAL).await {
+        let table = shared.versions.table();
+        let has_limits = table.is_some_and(|t| t.organisations().is_some_and(|o| o.have_limits()));
+        if has_limits {
+            send_report(&shared).await;
+        }
+    }
+}
+
+async fn send_report(shared: &Shared) {
+    // Two nodes that can't reach each other must not both admit a whole limit, so that a node without
+    // a majority admits only its own part.
+    if !shared.peers.lock().has_majority(shared.now()) {
+        return;
+    }
+    let counts = shared.usage.lock().take_report(shared.now());
+    let link = shared.settings.peer_addr;
+    let grants = match owner(shared) {
+        None => receive(shared, link, &counts),
+        Some(client) => {
+            let reply = client.report_usage(context(REPORT_TIMEOUT), link, counts.clone());
+            let reply = tokio::time::timeout(REPORT_TIMEOUT, reply).await;
+            reply.ok().and_then(Result::ok).flatten()
+        }
+    };
+    let mut usage = shared.usage.lock();
+    match grants {
+        Some(grants) => usage.apply(shared.now(), &grants),
+        None => usage.restore(&counts),
+    }
+}
+
+/// Returns the node that adds up the usage, the first by rank; `None` for this node.
+fn owner(shared: &Shared) -> Option<LinkClient> {
+    let name = ServiceName::from(RANK_NAME);
+    let mut all = shared.peers.lock().decider_ranks(&name);
+    if shared.phase() == Phase::Serving {
+        let s = &shared.settings;
+        all.push((deciding::rank(&name, s.peer_addr, s.link_mbps), None));
+    }
+    let first = all.into_iter().max_by_key(|(rank, _)| *rank);
+    first.and_then(|(_, client)| client)
+}
+
+/// Adds a node's report and returns what it may admit of organisations near their limits.
+pub(crate) fn receive(
+    shared: &Shared,
+    link: std::net::SocketAddr,
+    counts: &[UsageCount],
+) -> Option<Vec<Grant>> {
+    let table = shared.versions.table()?;
+    let organisations = table.organisations()?;
+    let limit = |id| organisations.get(id)?.limit.map(to_limit);
+    let mut ledger = shared.usage_ledger.lock();
+    Some(ledger.report(shared.now(), link, counts, limit))
+}
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use config::{CallerLimits, RawRoute, RawRouting, RawService, Repeat};
+use config::{CallerLimits, KeyDigest, RawOrganisation, RawRoute, RawRouting, RawService, Repeat};
 use fakes::{FakeKeyedLog, ReceivedRequest, Script, ScriptedTarget, Step};
 use member::{TargetIncarnation, TargetReport, TargetState};
 use ops::Metrics;
@@ -47,13 +47,14 @@
         response_mark: name("x-proof"),
         not_run: name("x-not-run"),
         caller_service: name("x-caller"),
+        organisation: name("x-organisation"),
         load: name("x-load"),
         target_id: name("x-target"),
     }
 }
 
-/// Decodes the lines `version N`, `service NAME` and
-/// `route NAME PREFIX SERVICE KIND TIMEOUT_MS ATTEMPTS`.
+/// Decodes the lines `version N`, `service NAME`, `organisation NAME KEY RATE BURST` and
+/// `route NAME PREFIX SERVICE KIND TIMEOUT_MS ATTEMPTS`. The route `open` is public.
 fn decode(text: &[u8]) -> Result<RawRouting, String> {
     let text = std::str::from_utf8(text).map_err(|e| e.to_string())?;
     let mut raw = RawRouting {
@@ -71,6 +72,17 @@
                 health_path: "/health".into(),
                 max_connections: 100,
             }),
+            ["organisation", name, key, rate, burst] => {
+                raw.organisations
+                    .get_or_insert_default()
+                    .push(RawOrganisation {
+                        name: name.into(),
+                        keys: vec![KeyDigest::of(key.as_bytes())],
+                        priority: None,
+                        rate_per_s: rate.parse().map_err(|_| "bad rate")?,
+                        burst: burst.parse().map_err(|_| "bad burst")?,
+                    });
+            }
             ["route", name, prefix, service, kind, timeout, attempts] => {
                 raw.routes.push(RawRoute {
                     name: name.into(),
@@ -85,6 +97,7 @@
                     objective_ms: timeout.parse().ok(),
                     priority: 1,
                     max_attempts: attempts.parse().map_err(|_| "bad attempts")?,
+                    is_public: name == "open",
                 });
             }
             _ => return Err(format!("bad line {line:?}")),
@@ -148,6 +161,7 @@
             apply_time: APPLY_TIME,
             recovery_time: RECOVERY_TIME,
             memory_bytes,
+            revoke_time: None,
             max_callers: 1_000,
             max_links: 1_000,
             read_ahead: ReadAhead::default(),
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -87,6 +87,11 @@
     HeadTimeout = 110, Some(408), NO, "request head not received in time";
     /// The head of a request exceeds the size limit.
     HeadTooLarge = 111, Some(431), NO, "request head too large";
+    /// The key of the request belongs to no organisation.
+    UnknownKey = 112, Some(401), NO, "unknown key";
+    /// The node can't tell whether the key has been taken away, since it has not heard of the newest
+    /// version for too long.
+    KeyNotConfirmed = 113, Some(503), NO, "key not confirmed";
     /// The target's queue is full.
     QueueFull = 201, Some(429), NO, "queue full";
     /// The request can't start before its deadline.
@@ -99,6 +104,8 @@
     OverFairShare = 205, Some(429), NO, "over fair share";
     /// A roll-out of the service does not let the target's software version run the request.
     NotReleased = 206, Some(503), NO, "version not released";
+    /// The organisation has used up its limit.
+    OverUsageLimit = 207, Some(429), NO, "over the usage limit";
     /// The target's connection broke after the hand-over.
     TargetLost = 301, Some(502), UNKNOWN, "target lost after hand-over";
     /// The target didn't respond in time after the hand-over.
