Refuse downloads that the link of their target's node can't carry in time

The time that a large response needs on the link, behind those admitted, is now taken off the times of its request at the target-side node; one that can't be in time is refused at once (code 202), so that another node is tried. The transit time of a peer includes the fetch of a staged response again, as it did before these were staged.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `eviction`: choice of the connection to close when connections or memory run short.
 //! - `fair`: fair queueing between callers.
 //! - `limits`: declared limits of a target and parameters of [`Admission`].
+//! - `link_load`: large responses on the link of the target-side node.
 //! - `offer`: requests and decisions of [`Admission`].
 //! - `reserve`: slots reserved for short requests.
 //! - `sojourn`: overload detection by time in the queue.
@@ -26,6 +27,7 @@
 mod eviction;
 mod fair;
 mod limits;
+mod link_load;
 mod offer;
 mod reserve;
 mod sojourn;
@@ -35,6 +37,7 @@
 pub use admission::Admission;
 pub use eviction::{ConnectionState, longest_idle, worst_holder};
 pub use limits::{Limits, Reserve, Tuning};
+pub use link_load::LinkLoad;
 pub use offer::{Class, Event, Finish, Offer, RequestKey, Verdict};
 pub use staged_body::{check_staged_body, transit_time};
 pub use target_queue::{
--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -11,7 +11,7 @@
 };
 use wire::{Code, Refusal, Time};
 
-use crate::beside;
+use crate::beside::{self, Origin};
 use crate::entry::Pending;
 use crate::message::{Answer, Failure, Outcome, Times};
 use crate::peers::PeerKey;
@@ -493,7 +493,7 @@
     call.due_ms = as_millis_u64(pending.due.since(now));
     match destination {
         Destination::Local => {
-            let reply = beside::run(shared, call).await;
+            let reply = beside::run(shared, call, Origin::Local).await;
             (reply.outcome, reply.times)
         }
         Destination::Peer(key) => remote::call_peer(shared, pending, key, call).await,
--- a/crates/proxy/src/beside.rs
+++ b/crates/proxy/src/beside.rs
@@ -25,11 +25,20 @@
 use crate::shared::{Phase, Shared};
 use crate::upstream::{ReceivedResponse, Reuse, SendError};
 
+/// Where a call comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// This node.
+    Local,
+    /// A peer, so that the response crosses this node's link.
+    Peer,
+}
+
 /// Runs a call from this node or a peer at the target, or refuses the call.
-pub(crate) async fn run(shared: &Arc<Shared>, call: Call) -> Reply {
+pub(crate) async fn run(shared: &Arc<Shared>, call: Call, origin: Origin) -> Reply {
     let call = Arc::new(call);
     let offered_at = shared.now();
-    let slot = acquire_slot(shared, &call).await;
+    let slot = acquire_slot(shared, &call, origin).await;
     let started_at = shared.now();
     let outcome = match slot {
         Ok(mut slot) => dispatch(shared, &mut slot).await,
@@ -68,6 +77,8 @@
     outcome: JobOutcome,
     /// Whether the target has the request and no outcome is known.
     is_dispatched: bool,
+    /// Expected size of the response on this node's link.
+    response_bytes: usize,
 }
 
 impl Drop for Slot {
@@ -76,6 +87,7 @@
         if self.is_dispatched {
             rollouts::record_abandoned(&self.shared, self.call.route);
         }
+        self.shared.link_load.lock().end(self.response_bytes);
         {
             let mut target = self.shared.target.lock();
             target.queue.finish(now, self.key, self.outcome);
@@ -87,10 +99,19 @@
 }
 
 /// Offers a call to the target's queue and waits until the call gets a slot or is refused.
-async fn acquire_slot(shared: &Arc<Shared>, call: &Arc<Call>) -> Result<Slot, Refusal> {
+async fn acquire_slot(
+    shared: &Arc<Shared>,
+    call: &Arc<Call>,
+    origin: Origin,
+) -> Result<Slot, Refusal> {
     let now = shared.now();
     check_admissible(shared, call, now)?;
     let job = new_job(call, now);
+    let deadline = job.deadline;
+    let (job, response_bytes) = match origin {
+        Origin::Local => (job, 0),
+        Origin::Peer => job_before_transfer(shared, now, job)?,
+    };
     let (key, start_signal, time_needed) = {
         let mut target = shared.target.lock();
         let time_needed = target.queue.time_needed(call.route);
@@ -110,10 +131,12 @@
         shared: shared.clone(),
         key,
         call: call.clone(),
-        deadline: job.deadline,
+        deadline,
         outcome: JobOutcome::Unmeasured,
         is_dispatched: false,
+        response_bytes,
     };
+    shared.link_load.lock().begin(response_bytes);
     rollouts::count_admitted(shared);
     if let Some(start_signal) = start_signal {
         let longest_wait = job.deadline.since(now).saturating_sub(time_needed);
@@ -129,6 +152,18 @@
     Ok(slot)
 }
 
+/// Returns the job with the time that its response needs on the link taken off, and the expected size
+/// of the response.
+fn job_before_transfer(shared: &Shared, now: Time, job: Job) -> Result<(Job, usize), Refusal> {
+    let service = shared.target.lock().queue.expected_service(job.route);
+    let staged = shared.outbox.bytes();
+    let link = shared.link_load.lock();
+    let bytes = link.expected(job.route);
+    let link_mbps = shared.settings.link_mbps;
+    let job = link.before_transfer(now, job, service, (bytes, staged), link_mbps)?;
+    Ok((job, bytes))
+}
+
 fn new_job(call: &Call, now: Time) -> Job {
     let max_wait = call.max_wait_ms.map(|ms| Duration::from_millis(ms.into()));
     Job {
@@ -235,6 +270,10 @@
         Err(_) => Outcome::Failed(Failure::Timeout),
     };
     slot.is_dispatched = false;
+    if let Outcome::Answer(answer) = &outcome {
+        let bytes = answer.body.len();
+        shared.link_load.lock().record(slot.call.route, bytes);
+    }
     rollouts::record_outcome(shared, slot.call.route, now.since(started_at), &outcome);
     slot.outcome = job_outcome(&outcome);
     outcome
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -26,7 +26,7 @@
 use usage::{Grant, UsageCount};
 use wire::{Code, Refusal};
 
-use crate::beside;
+use crate::beside::{self, Origin};
 use crate::deciding;
 use crate::departures;
 use crate::freshness;
@@ -156,7 +156,7 @@
             return beside::refusal_reply(&self.shared, &call, Code::QueueFull.into());
         };
         call.body = body;
-        let mut reply = beside::run(&self.shared, call).await;
+        let mut reply = beside::run(&self.shared, call, Origin::Peer).await;
         drop(memory);
         if let Outcome::Answer(answer) = &mut reply.outcome {
             self.shared.outbox.stage(self.shared.now(), answer);
--- a/crates/proxy/src/outbox.rs
+++ b/crates/proxy/src/outbox.rs
@@ -80,6 +80,11 @@
         (start < end).then(|| staged.body.slice(start..end))
     }
 
+    /// Returns the bytes of all staged bodies.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bodies.lock().values().map(|b| b.body.len()).sum()
+    }
+
     /// Drops a body that has been fetched or whose caller has left.
     pub(crate) fn release(&self, transfer: u64) {
         self.bodies
--- a/crates/proxy/src/remote.rs
+++ b/crates/proxy/src/remote.rs
@@ -67,26 +67,14 @@
             outcome,
             times,
         }) => {
+            shared
+                .peers
+                .lock()
+                .update_queue(shared.now(), key, queue.into());
+            let outcome = receive_body(shared, pending, &client, outcome).await;
             let at_target = Duration::from_millis((times.queued_ms + times.target_ms).into());
             let transit = shared.now().since(sent_at).saturating_sub(at_target);
-            {
-                let mut peers = shared.peers.lock();
-                peers.update_queue(shared.now(), key, queue.into());
-                peers.record_transit(key, transit, body_bytes);
-            }
-            let outcome = match outcome {
-                Outcome::Answer(answer) => {
-                    let limit = pending.deadline.since(shared.now());
-                    match outbox::receive(shared, &client, answer, limit).await {
-                        Some(answer) => Outcome::Answer(answer),
-                        None => {
-                            log::info!(event = "response_not_fetched", id = pending.call.request_id.as_str(); "the body of a response could not be fetched from the target-side node; outcome unknown");
-                            Outcome::Failed(Failure::PeerLost)
-                        }
-                    }
-                }
-                other => other,
-            };
+            shared.peers.lock().record_transit(key, transit, body_bytes);
             (outcome, times)
         }
         Err(e) => {
@@ -96,6 +84,26 @@
     }
 }
 
+/// Counts and, if it is staged at the peer, fetches the body of a response.
+async fn receive_body(
+    shared: &Shared,
+    pending: &Pending,
+    client: &LinkClient,
+    outcome: Outcome,
+) -> Outcome {
+    let Outcome::Answer(answer) = outcome else {
+        return outcome;
+    };
+    let limit = pending.deadline.since(shared.now());
+    match outbox::receive(shared, client, answer, limit).await {
+        Some(answer) => Outcome::Answer(answer),
+        None => {
+            log::info!(event = "response_not_fetched", id = pending.call.request_id.as_str(); "the body of a response could not be fetched from the target-side node; outcome unknown");
+            Outcome::Failed(Failure::PeerLost)
+        }
+    }
+}
+
 /// Guards a body staged at a peer. If the guard is dropped before the call has ended, it withdraws
 /// the body, and the peer no longer counts the request as queued.
 struct StagingGuard<'a> {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use admit::{JobEvent, JobKey, QueueState, TargetQueue};
+use admit::{JobEvent, JobKey, LinkLoad, QueueState, TargetQueue};
 use member::{OwnTarget, TargetIncarnation};
 use ops::{Metric, Metrics};
 use parking_lot::Mutex;
@@ -134,6 +134,8 @@
     pub(crate) connections: Arc<Connections>,
     /// Responses that peers may fetch.
     pub(crate) outbox: Outbox,
+    /// Large responses on this node's link.
+    pub(crate) link_load: Mutex<LinkLoad>,
     /// When the table in force was last known to be the newest.
     pub(crate) freshness: Mutex<Freshness>,
     /// Usage of organisations at this node, and that of all nodes if this one adds it up.
@@ -217,6 +219,7 @@
             memory_shortage,
             connections: Connections::new(settings.bounds.max_callers),
             outbox: Outbox::default(),
+            link_load: Mutex::default(),
             freshness: Mutex::default(),
             usage: Mutex::default(),
             usage_ledger: Mutex::default(),
