--- a/crates/admit/tests/link_load.rs
+++ b/crates/admit/tests/link_load.rs
@@ -45,11 +45,10 @@
     }
     // A link of 11 Mbit/s carries 12 of them in a second, less other messages; the work takes 240 ms.
     expect_that!(admitted, all![ge(6), le(12)]);
-    let lookup = link.before_transfer(job(LOOKUP), link.expected(LOOKUP), 0, LINK_MBPS);
-    expect_that!(
-        queue.offer(now, lookup),
-        matches_pattern!(JobVerdict::Run(_))
-    );
+    let sizes = (link.expected(LOOKUP), 0);
+    let lookup = link.before_transfer(now, job(LOOKUP), SERVICE, sizes, LINK_MBPS);
+    let verdict = queue.offer(now, lookup.expect("a small response"));
+    expect_that!(verdict, matches_pattern!(JobVerdict::Run(_)));
     // Once they are through, there is room again.
     for _ in 0..admitted {
         link.end(DOWNLOAD_BYTES);
