--- a/crates/proxy/src/deciding.rs
+++ b/crates/proxy/src/deciding.rs
@@ -59,6 +59,8 @@
     recorded: Step,
     /// End of the stream of steps at the last read or append.
     end: Offset,
+    /// Why the new version is rolled back, if it is: unless its time has run out, it is bad.
+    rollback_reason: Reason,
     /// Last status that the operators can read.
     published: Option<RolloutStatus>,
     reported_at: Time,
@@ -98,8 +100,11 @@
         Some(Deciding::Active(active)) => {
             if active.take_order(&order) {
                 active.reported_at = now;
-                let plan = active.decider.report(now, report);
+                let mut plan = active.decider.report(now, report);
                 if active.decider.step() != active.recorded {
+                    // The nodes go on reporting until the step is recorded, so that a successor can
+                    // record it if this node is lost.
+                    plan.step = active.recorded;
                     rollouts.decision_due.notify_one();
                 }
                 return ReportReply::Plan(plan);
@@ -187,6 +192,7 @@
                 decider: Decider::new(order, exposure, ordered_at, step, now),
                 recorded: step,
                 end,
+                rollback_reason: Reason::Bad,
                 published: None,
                 reported_at: now,
             }))
@@ -237,16 +243,22 @@
             return None;
         };
         let is_idle = now.since(active.reported_at) > IDLE_TIME;
+        let is_recorded = active.decider.step() == active.recorded;
         let is_published = active.published == Some(RolloutStatus::from(active.recorded));
-        if is_idle && (is_published || !active.recorded.is_final()) {
+        if is_idle && is_recorded && (is_published || !active.recorded.is_final()) {
             state.deciding.remove(service);
             return None;
         }
-        let decider = &active.decider;
+        let decider = &mut active.decider;
         let (step, reason) = if decider.step() != active.recorded {
-            (decider.step(), Reason::Bad)
+            (decider.step(), active.rollback_reason)
         } else {
             let next = decider.next(now, expected)?;
+            if next.step == Step::RolledBack {
+                // A roll-back does not wait for the log.
+                decider.enter(now, next.step);
+                active.rollback_reason = next.reason;
+            }
             (next.step, next.reason)
         };
         (step, reason, decider.order().clone())
