Start test nodes at other addresses when a port has been taken

Its process listened on 13 sockets, those of all nodes before the first new one: the start of that node was repeated without end at a port that another connection had taken. Each attempt now uses new ports, and the attempts are bounded. The same for the tests of organisations, which had one attempt.

--- a/crates/proxy/tests/organisations.rs
+++ b/crates/proxy/tests/organisations.rs
@@ -14,6 +14,7 @@
 /// Requests per second and burst of `small`.
 const RATE: f64 = 40.0;
 const BURST: f64 = 40.0;
+const MAX_START_ATTEMPTS: u32 = 5;
 
 fn text(version: u64, organisations: &str) -> String {
     let routes = config_text(version);
@@ -29,11 +30,16 @@
 }
 
 async fn start_node(log: &FakeKeyedLog, target: &ScriptedTarget) -> TestNode {
-    let mut settings = settings(log, target.addr(), free_addr(), "desk", MEMORY_BYTES);
-    settings.bounds.revoke_time = Some(REVOKE_TIME);
-    let mut node = TestNode::start_with(settings).await.unwrap();
-    node.serve().await;
-    node
+    for _ in 0..MAX_START_ATTEMPTS {
+        // A connection of another test may have taken a free port.
+        let mut settings = settings(log, target.addr(), free_addr(), "desk", MEMORY_BYTES);
+        settings.bounds.revoke_time = Some(REVOKE_TIME);
+        if let Ok(mut node) = TestNode::start_with(settings).await {
+            node.serve().await;
+            return node;
+        }
+    }
+    panic!("no node could be started");
 }
 
 async fn start(text: &str) -> (FakeKeyedLog, ScriptedTarget, TestNode) {
--- a/crates/proxy/tests/rollouts.rs
+++ b/crates/proxy/tests/rollouts.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use common::{
-    Caller, MEMORY_BYTES, TestNode, VERSION_STREAM, echo_path, free_addr, header_names, log_with,
-    ok_response, received_requests, script, settings,
+    Caller, MEMORY_BYTES, TestNode, VERSION_STREAM, echo_path, free_addr, log_with, ok_response,
+    received_requests, script, settings,
 };
 use fakes::{FakeKeyedLog, KeyedFault, ReceivedRequest, ScriptedTarget, Step};
 use plat::KeyedLog;
-use proxy::{RolloutSettings, RolloutStatus, Settings};
+use proxy::{RolloutSettings, RolloutStatus};
 use rollout::{ExposureCfg, Order, RawOrder};
 use tokio::task::JoinSet;
 
@@ -27,6 +27,8 @@
 /// Time in which all nodes hear of a roll-back; the operators allow 5 s.
 const ROLLBACK_TIME: Duration = Duration::from_secs(1);
 const CALLERS: u64 = 8;
+/// Attempts to start a node, 10 ms apart.
+const MAX_START_ATTEMPTS: u32 = 300;
 const EXPOSURE: ExposureCfg = ExposureCfg {
     share: 0.1,
     slack: 50.0,
@@ -75,37 +77,28 @@
     failed: Arc<AtomicU64>,
 }
 
-fn copy_of(s: &Settings) -> Settings {
-    Settings {
-        name: s.name.clone(),
-        domain: s.domain.clone(),
-        target: s.target.clone(),
-        header_names: header_names(),
-        source: s.source.clone(),
-        rollouts: s.rollouts.clone(),
-        ..*s
-    }
-}
-
+/// Starts a node, at `peer_addr` if it is given. A connection of another test may have taken a free
+/// port, so that each attempt uses new ones; the tasks of a killed node may hold its address for a
+/// moment.
 async fn start_node(
     log: &FakeKeyedLog,
     target: &ScriptedTarget,
     (service, software, link_mbps): (&str, &'static str, u32),
-    peer_addr: SocketAddr,
+    peer_addr: Option<SocketAddr>,
 ) -> TestNode {
-    let mut settings = settings(log, target.addr(), peer_addr, service, MEMORY_BYTES);
-    settings.rollouts = Some(rollout_settings());
-    settings.link_mbps = link_mbps;
-    let mut node = None;
-    while node.is_none() {
-        // The tasks of a killed node may still hold its address for a moment.
+    for _ in 0..MAX_START_ATTEMPTS {
+        let addr = peer_addr.unwrap_or_else(free_addr);
+        let mut settings = settings(log, target.addr(), addr, service, MEMORY_BYTES);
+        settings.rollouts = Some(rollout_settings());
+        settings.link_mbps = link_mbps;
+        if let Ok(mut node) = TestNode::start_with(settings).await {
+            node.software = software;
+            node.serve_as(service).await;
+            return node;
+        }
         tokio::time::sleep(Duration::from_millis(10)).await;
-        node = TestNode::start_with(copy_of(&settings)).await.ok();
     }
-    let mut node = node.unwrap();
-    node.software = software;
-    node.serve_as(service).await;
-    node
+    panic!("no node could be started");
 }
 
 impl Mesh {
@@ -122,11 +115,11 @@
         };
         for i in 0..2 {
             let target = ScriptedTarget::start(false, echo_path()).await.unwrap();
-            let node = start_node(&log, &target, ("desk", "v1", 100), free_addr()).await;
+            let node = start_node(&log, &target, ("desk", "v1", 100), None).await;
             mesh.old.push((node, target));
             let target = ScriptedTarget::start(false, echo_path()).await.unwrap();
             let kind = ("view", "v1", 1_000 - i);
-            let node = start_node(&log, &target, kind, free_addr()).await;
+            let node = start_node(&log, &target, kind, None).await;
             mesh.deciders.push((node, target));
         }
         let order = format!("desk v2 {}", DURATION.as_secs());
@@ -134,7 +127,7 @@
         let new = script(new);
         for _ in 0..2 {
             let target = ScriptedTarget::start(false, new.clone()).await.unwrap();
-            let node = start_node(&log, &target, ("desk", "v2", 100), free_addr()).await;
+            let node = start_node(&log, &target, ("desk", "v2", 100), None).await;
             mesh.new.push((node, target));
         }
         mesh.start_callers().await;
@@ -294,7 +287,7 @@
         for (node, target) in nodes.iter_mut() {
             let addr = node.peer_addr;
             node.kill();
-            *node = start_node(&log, target, ("desk", software, 100), addr).await;
+            *node = start_node(&log, target, ("desk", software, 100), Some(addr)).await;
         }
     }
     mesh.wait_for_status("RolledBack v2").await;
