--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -192,7 +192,8 @@
         | Code::QueueFull
         | Code::CannotStartInTime
         | Code::Draining
-        | Code::TargetDown => None,
+        | Code::TargetDown
+        | Code::NotReleased => None,
         Code::TargetLost | Code::TargetTimeout | Code::PeerLost if is_idempotent => None,
         // This includes the refusal of a caller over its fair share. With retries, that caller
         // would also get the shares of other callers at further targets.
