Promote no version without answers

Cause (found while reading the change): with no answer of the new version the sum of its failures is 0, which counted as fit at the last decision. The roll-out was promoted, and the switch closed the old version although the new one had no instance. At least 15 answers are needed now.

--- a/crates/rollout/src/decider.rs
+++ b/crates/rollout/src/decider.rs
@@ -42,6 +42,9 @@
 const GRANT_TIME: Duration = Duration::from_millis(600);
 /// Answers of an instance from which its verdict counts.
 const MIN_JUDGED_ANSWERS: u64 = 8;
+/// Answers of the new version without which it is not promoted. A version that fails one request in
+/// three has none of 15 failing once in 400 roll-outs.
+const MIN_FIT_ANSWERS: u64 = 15;
 /// Answers on each route that is needed, and the share of the old version's answers from which a
 /// route is: a version may be bad on one route only.
 const MIN_FIT_ROUTE_ANSWERS: u64 = 5;
@@ -435,6 +438,9 @@
         for instance in instances.filter(|i| i.judge.verdict() == Verdict::Fit) {
             fit.add(&instance.report.evidence);
         }
+        if fit.answers() < MIN_FIT_ANSWERS {
+            return false;
+        }
         let fit_at = if is_last { LAST_FIT_AT } else { FIT_AT };
         if self.baseline().judge_failures(&fit, fit_at) != Some(Verdict::Fit) {
             return false;
--- a/crates/rollout/tests/rollouts.rs
+++ b/crates/rollout/tests/rollouts.rs
@@ -335,6 +335,34 @@
     }
 }
 
+/// Guards against an old version that is closed although the new one has no instance, or none that
+/// has answered: without evidence a roll-out ends in a roll-back.
+#[test]
+fn a_roll_out_without_evidence_is_rolled_back() {
+    for new_count in [0, 2] {
+        let mut decider = Decider::new(order(), EXPOSURE, Time::ZERO, Step::Canary, Time::ZERO);
+        let mut old = instance(0, "v1", Faults::default());
+        let idle = (0..new_count).map(|i| instance(OLD_COUNT + i, "v2", Faults::default()));
+        let idle: Vec<_> = idle.collect();
+        for round in 1..=(DURATION.as_millis() / ROUND.as_millis()) as u32 {
+            let now = Time::ZERO + ROUND * round;
+            old.gate.apply(now, decider.report(now, old.report(now)));
+            assert!(old.gate.may_admit(now), "the old version serves");
+            for new in &idle {
+                decider.report(now, new.report(now));
+            }
+            if let Some(next) = decider.next(now, 1 + new_count) {
+                decider.enter(now, next.step);
+            }
+        }
+        assert_eq!(
+            decider.step(),
+            Step::RolledBack,
+            "{new_count} new instances"
+        );
+    }
+}
+
 /// Returns the gate of a target of the new version, with a plan.
 fn gate_with(step: Step, admission: Admission) -> Gate {
     let order = order();
