Replace deciders that lose the log, and ignore plans of earlier steps

Cause: a decider that reached all nodes but not the log kept its roll-out in its step, since the reporting nodes ask the next node only when a node says that it can't decide; a node that read the step again after a failure told its reporters to wait. Plans of an earlier step, from a decider that was paused, were applied. A decider that begins to decide beyond a cut did not know of the nodes on the other side. Responses of a few milliseconds counted as slow.

Change: a decider without the log answers with its plan and that it is cut, and reports go on to the next node. The recorded step is read once a second and holds the number of nodes that should report. Nodes ignore plans of earlier steps. Responses below 32 ms are never slow.

--- a/crates/fakes/src/keyed.rs
+++ b/crates/fakes/src/keyed.rs
@@ -36,7 +36,6 @@
 #[derive(Debug, Default)]
 struct State {
     streams: BTreeMap<String, Stream>,
-    fault: KeyedFault,
     call_count: u64,
 }
 
@@ -44,6 +43,7 @@
 #[derive(Clone, Debug)]
 pub struct FakeKeyedLog {
     state: Arc<Mutex<State>>,
+    fault: Arc<Mutex<KeyedFault>>,
     changed: watch::Sender<u64>,
 }
 
@@ -51,6 +51,7 @@
     fn default() -> Self {
         FakeKeyedLog {
             state: Arc::default(),
+            fault: Arc::default(),
             changed: watch::Sender::new(0),
         }
     }
@@ -77,10 +78,18 @@
     /// Sets the fault of all later calls and wakes waiting reads, so that the fault applies to them
     /// too.
     pub fn set_fault(&self, fault: KeyedFault) {
-        self.state.lock().fault = fault;
+        *self.fault.lock() = fault;
         self.changed.send_modify(|n| *n += 1);
     }
 
+    /// Returns a log with the same content and a fault of its own, for one node's path to the log.
+    pub fn separate_path(&self) -> FakeKeyedLog {
+        FakeKeyedLog {
+            fault: Arc::default(),
+            ..self.clone()
+        }
+    }
+
     /// Expires all records of a stream for reads by offset. [`KeyedLog::read_newest`] still returns
     /// them.
     pub fn expire(&self, stream: &str) {
@@ -97,11 +106,8 @@
 
     /// Counts a call and applies the current fault, which is returned if the call goes on.
     async fn apply_fault(&self) -> Result<KeyedFault, LogError> {
-        let fault = {
-            let mut state = self.state.lock();
-            state.call_count += 1;
-            state.fault
-        };
+        self.state.lock().call_count += 1;
+        let fault = *self.fault.lock();
         match fault {
             KeyedFault::RefusesCalls => Err(LogError::Refused { status: 503 }),
             KeyedFault::Unresponsive => std::future::pending().await,
--- a/crates/proxy/src/deciding.rs
+++ b/crates/proxy/src/deciding.rs
@@ -24,8 +24,13 @@
 const DECIDE_INTERVAL: Duration = Duration::from_millis(150);
 /// Timeout of a call to the log.
 const LOG_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time that a node has to read the recorded step before others are asked to decide.
+const START_TIME: Duration = Duration::from_millis(600);
 /// Time for which a node that could not reach the log leaves the decision to others.
 const UNABLE_TIME: Duration = Duration::from_secs(1);
+/// Time between reads of the recorded step. After a pause, or beyond a cut between nodes, another node
+/// may have taken steps, and the next own one may be far off.
+const READ_INTERVAL: Duration = Duration::from_secs(1);
 /// Time without a report after which a node no longer decides. Its reporters have chosen another one,
 /// or the roll-out has ended.
 const IDLE_TIME: Duration = Duration::from_secs(5);
@@ -44,7 +49,12 @@
 #[derive(Debug)]
 pub(crate) enum Deciding {
     /// The recorded step has to be read from the log.
-    Starting(Order),
+    Starting {
+        order: Order,
+        since: Time,
+        /// Whether an earlier read has failed.
+        has_failed: bool,
+    },
     /// The log could not be read.
     Unable { until: Time },
     /// Plans are made.
@@ -59,6 +69,12 @@
     recorded: Step,
     /// End of the stream of steps at the last read or append.
     end: Offset,
+    /// When the recorded step was last read or written.
+    read_at: Time,
+    /// Whether the last call to the log failed.
+    is_cut: bool,
+    /// Most nodes of the service that have been connected at a time, and by the recorded step.
+    expected: usize,
     /// Why the new version is rolled back, if it is: unless its time has run out, it is bad.
     rollback_reason: Reason,
     /// Last status that the operators can read.
@@ -71,6 +87,8 @@
 struct StepRecord {
     order: Order,
     step: Step,
+    /// Nodes of the service that should report. A successor may be cut off from some of them.
+    expected: u32,
     /// Milliseconds from the order to the record, by the decider's clock.
     age_ms: u64,
     /// Wall-clock time of the record in milliseconds.
@@ -96,6 +114,7 @@
         // The reporting node learns the newer order from a reader.
         return ReportReply::Starting;
     }
+    let mut has_failed = false;
     match state.deciding.get_mut(service) {
         Some(Deciding::Active(active)) => {
             if active.take_order(&order) {
@@ -107,19 +126,40 @@
                     plan.step = active.recorded;
                     rollouts.decision_due.notify_one();
                 }
-                return ReportReply::Plan(plan);
+                return match active.is_cut {
+                    true => ReportReply::Cut(plan),
+                    false => ReportReply::Plan(plan),
+                };
             }
         }
         Some(Deciding::Unable { until }) if now < *until => return ReportReply::Unable,
-        Some(Deciding::Starting(starting)) if starting.id == order.id => {
-            return ReportReply::Starting;
+        Some(Deciding::Starting {
+            order: starting,
+            since,
+            has_failed,
+        }) if starting.id == order.id => {
+            return starting_reply(*has_failed || now.since(*since) >= START_TIME);
         }
-        Some(Deciding::Unable { .. } | Deciding::Starting(_)) | None => {}
+        Some(Deciding::Unable { .. }) => has_failed = true,
+        Some(Deciding::Starting { .. }) | None => {}
     }
-    let starting = Deciding::Starting(order);
+    let starting = Deciding::Starting {
+        order,
+        since: now,
+        has_failed,
+    };
     state.deciding.insert(service.clone(), starting);
     rollouts.decision_due.notify_one();
-    ReportReply::Starting
+    starting_reply(has_failed)
+}
+
+/// Returns the reply of a node that reads the recorded step. If the log does not answer it, the reports
+/// go on to the next node.
+fn starting_reply(is_overdue: bool) -> ReportReply {
+    match is_overdue {
+        true => ReportReply::Unable,
+        false => ReportReply::Starting,
+    }
 }
 
 impl Active {
@@ -157,7 +197,7 @@
 
 async fn decide_on(shared: &Shared, rollouts: &Rollouts, service: &ServiceName) {
     let starting = match rollouts.state.lock().deciding.get(service) {
-        Some(Deciding::Starting(order)) => Some(order.clone()),
+        Some(Deciding::Starting { order, .. }) => Some(order.clone()),
         _ => None,
     };
     if let Some(order) = starting {
@@ -167,6 +207,23 @@
         take_step(shared, rollouts, service, step, reason, record).await;
     }
     publish_status(shared, rollouts, service).await;
+    if let Some(order) = order_to_read(shared, rollouts, service) {
+        reload(shared, rollouts, service, &order).await;
+    }
+}
+
+/// Returns the order whose recorded step should be read again.
+fn order_to_read(shared: &Shared, rollouts: &Rollouts, service: &ServiceName) -> Option<Order> {
+    let now = shared.now();
+    let mut state = rollouts.state.lock();
+    let Some(Deciding::Active(active)) = state.deciding.get_mut(service) else {
+        return None;
+    };
+    let is_due = !active.recorded.is_final() && now.since(active.read_at) >= READ_INTERVAL;
+    is_due.then(|| {
+        active.read_at = now;
+        active.decider.order().clone()
+    })
 }
 
 /// Reads the recorded step, or records the first one, and begins to decide.
@@ -174,7 +231,8 @@
     let started = match load(shared, rollouts, &order).await {
         Ok((Some(record), end)) => Ok((record, end)),
         Ok((None, end)) => {
-            let record = new_record(shared, rollouts, &order, Step::Canary);
+            let expected = expected_reports(shared, &order.service);
+            let record = new_record(shared, rollouts, &order, Step::Canary, expected);
             let appended = append(shared, rollouts, &record, end).await;
             appended.map(|end| (record, end))
         }
@@ -192,6 +250,9 @@
                 decider: Decider::new(order, exposure, ordered_at, step, now),
                 recorded: step,
                 end,
+                read_at: now,
+                is_cut: false,
+                expected: record.expected as usize,
                 rollback_reason: Reason::Bad,
                 published: None,
                 reported_at: now,
@@ -236,8 +297,8 @@
     service: &ServiceName,
 ) -> Option<(Step, Reason, StepRecord)> {
     let now = shared.now();
-    let expected = expected_reports(shared, service);
-    let (step, reason, order) = {
+    let connected = expected_reports(shared, service);
+    let (step, reason, order, expected) = {
         let mut state = rollouts.state.lock();
         let Some(Deciding::Active(active)) = state.deciding.get_mut(service) else {
             return None;
@@ -249,6 +310,8 @@
             state.deciding.remove(service);
             return None;
         }
+        active.expected = active.expected.max(connected);
+        let expected = active.expected;
         let decider = &mut active.decider;
         let (step, reason) = if decider.step() != active.recorded {
             (decider.step(), active.rollback_reason)
@@ -261,9 +324,9 @@
             }
             (next.step, next.reason)
         };
-        (step, reason, decider.order().clone())
+        (step, reason, decider.order().clone(), expected)
     };
-    let record = new_record(shared, rollouts, &order, step);
+    let record = new_record(shared, rollouts, &order, step, expected);
     Some((step, reason, record))
 }
 
@@ -305,12 +368,18 @@
             );
             active.recorded = step;
             active.end = end;
+            active.read_at = now;
+            active.is_cut = false;
             if active.decider.step() != Step::RolledBack {
                 active.decider.enter(now, step);
             }
         }
         Err(LogError::Conflict { .. }) => reload(shared, rollouts, service, &record.order).await,
         Err(e) => {
+            let mut state = rollouts.state.lock();
+            if let Some(Deciding::Active(active)) = state.deciding.get_mut(service) {
+                active.is_cut = true;
+            }
             warn!(event = "rollout_log_failed", service:% = service, step = step.as_str(), error:% = e; "cannot record the step of the roll-out; trying again");
         }
     }
@@ -319,7 +388,7 @@
 fn end_of(rollouts: &Rollouts, service: &ServiceName) -> Option<Offset> {
     match rollouts.state.lock().deciding.get(service)? {
         Deciding::Active(active) => Some(active.end),
-        Deciding::Starting(_) | Deciding::Unable { .. } => None,
+        Deciding::Starting { .. } | Deciding::Unable { .. } => None,
     }
 }
 
@@ -335,7 +404,10 @@
     match loaded {
         Ok((record, end)) => {
             active.end = end;
+            active.read_at = now;
+            active.is_cut = false;
             let Some(record) = record else { return };
+            active.expected = active.expected.max(record.expected as usize);
             active.recorded = record.step;
             let is_pending_rollback =
                 active.decider.step() == Step::RolledBack && !record.step.is_final();
@@ -344,6 +416,7 @@
             }
         }
         Err(e) => {
+            active.is_cut = true;
             warn!(event = "rollout_log_failed", service:% = service, error:% = e; "cannot read the step of the roll-out; trying again");
         }
     }
@@ -384,13 +457,20 @@
     }
 }
 
-fn new_record(shared: &Shared, rollouts: &Rollouts, order: &Order, step: Step) -> StepRecord {
+fn new_record(
+    shared: &Shared,
+    rollouts: &Rollouts,
+    order: &Order,
+    step: Step,
+    expected: usize,
+) -> StepRecord {
     let now = shared.now();
     let state = rollouts.state.lock();
     let learned_at = state.book.order(&order.service).map_or(now, |(_, at)| at);
     StepRecord {
         order: order.clone(),
         step,
+        expected: u32::try_from(expected).unwrap_or(u32::MAX),
         age_ms: now.since(learned_at).as_millis() as u64,
         recorded_unix_ms: unix_ms(),
     }
--- a/crates/proxy/src/rollouts.rs
+++ b/crates/proxy/src/rollouts.rs
@@ -64,6 +64,9 @@
     Starting,
     /// The node can't decide, for example because it can't reach the log.
     Unable,
+    /// What the reporting node admits unless another node can decide: this one has decided and no
+    /// longer reaches the log.
+    Cut(Plan),
 }
 
 impl Rollouts {
@@ -325,6 +328,7 @@
         };
         match reply {
             Some(ReportReply::Plan(plan)) => return apply_plan(shared, plan),
+            Some(ReportReply::Cut(plan)) => apply_plan(shared, plan),
             Some(ReportReply::Starting) => return,
             Some(ReportReply::Unable) | None => {}
         }
--- a/crates/proxy/tests/rollouts.rs
+++ b/crates/proxy/tests/rollouts.rs
@@ -8,15 +8,18 @@
 use std::time::Duration;
 
 use common::{
-    Caller, MEMORY_BYTES, TestNode, VERSION_STREAM, echo_path, free_addr, log_with, ok_response,
-    received_requests, script, settings,
+    Caller, MEMORY_BYTES, Response, TestNode, VERSION_STREAM, echo_path, free_addr, log_with,
+    ok_response, received_requests, script, settings,
 };
 use fakes::{FakeKeyedLog, KeyedFault, ReceivedRequest, ScriptedTarget, Step};
+use parking_lot::Mutex;
 use plat::KeyedLog;
 use proxy::{RolloutSettings, RolloutStatus};
 use rollout::{ExposureCfg, Order, RawOrder};
 use tokio::task::JoinSet;
+use wire::Offset;
 
+const STEP_STREAM: &str = "steps";
 const STATUS_STREAM: &str = "status";
 /// Time that the orders give.
 const DURATION: Duration = Duration::from_secs(8);
@@ -58,7 +61,7 @@
     RolloutSettings {
         order_prefix: "order/".into(),
         decode_order,
-        step_stream: "steps".into(),
+        step_stream: STEP_STREAM.into(),
         status_stream: STATUS_STREAM.into(),
         encode_status,
         exposure: EXPOSURE,
@@ -69,12 +72,14 @@
 /// their faster links.
 struct Mesh {
     log: FakeKeyedLog,
+    /// Log as the first of the deciders reaches it.
+    first_decider_log: FakeKeyedLog,
     old: Vec<(TestNode, ScriptedTarget)>,
     new: Vec<(TestNode, ScriptedTarget)>,
     deciders: Vec<(TestNode, ScriptedTarget)>,
     callers: JoinSet<()>,
-    /// Requests that got another response than 200, or none.
-    failed: Arc<AtomicU64>,
+    /// Requests that got another response than 200, or none: their ids, status and body.
+    failed: Arc<Mutex<Vec<String>>>,
 }
 
 /// Starts a node, at `peer_addr` if it is given. A connection of another test may have taken a free
@@ -107,6 +112,7 @@
         let log = log_with(1);
         let mut mesh = Mesh {
             log: log.clone(),
+            first_decider_log: log.separate_path(),
             old: Vec::new(),
             new: Vec::new(),
             deciders: Vec::new(),
@@ -119,7 +125,12 @@
             mesh.old.push((node, target));
             let target = ScriptedTarget::start(false, echo_path()).await.unwrap();
             let kind = ("view", "v1", 1_000 - i);
-            let node = start_node(&log, &target, kind, None).await;
+            let log = if i == 0 {
+                &mesh.first_decider_log
+            } else {
+                &log
+            };
+            let node = start_node(log, &target, kind, None).await;
             mesh.deciders.push((node, target));
         }
         let order = format!("desk v2 {}", DURATION.as_secs());
@@ -138,7 +149,7 @@
     async fn start_callers(&mut self) {
         let entry = self.deciders[1].0.caller_addr;
         // The connections between the nodes may not be established yet.
-        while send(entry, 0).await != Some(200) {
+        while send(entry, 0).await.is_none_or(|r| r.status != 200) {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         for _ in 0..CALLERS {
@@ -146,8 +157,9 @@
             self.callers.spawn(async move {
                 loop {
                     let id = NEXT_ID.fetch_add(1, Ordering::SeqCst);
-                    if send(entry, id).await != Some(200) {
-                        failed.fetch_add(1, Ordering::SeqCst);
+                    let response = send(entry, id).await;
+                    if response.as_ref().is_none_or(|r| r.status != 200) {
+                        failed.lock().push(format!("r{id}: {response:?}"));
                     }
                     tokio::time::sleep(Duration::from_millis(10)).await;
                 }
@@ -199,10 +211,10 @@
     }
 }
 
-async fn send(entry: SocketAddr, id: u64) -> Option<u16> {
+async fn send(entry: SocketAddr, id: u64) -> Option<Response> {
     let mut caller = Caller::try_connect(entry).await?;
     caller.send("GET", "/safe/a", &format!("r{id}"), "").await;
-    caller.response().await.map(|r| r.status)
+    caller.response().await
 }
 
 fn good(req: &ReceivedRequest) -> Vec<Step> {
@@ -229,7 +241,7 @@
     mesh.wait_for_status("Succeeded v2").await;
     assert!(started.elapsed() < DURATION);
     Mesh::expect_quiet(&mesh.old).await;
-    assert_eq!(mesh.failed.load(Ordering::SeqCst), 0, "requests failed");
+    assert_eq!(*mesh.failed.lock(), [""; 0], "requests failed");
 }
 
 /// Guards against a bad version that gets more than its share, or that is not rolled back.
@@ -242,17 +254,61 @@
     mesh.expect_exposure_within_bound();
 }
 
-/// Guards against a roll-out that stays where it is when the node that decides is killed.
-#[tokio::test]
-async fn a_killed_decider_is_replaced() {
+/// Kills the decider as soon as `steps` steps are recorded.
+async fn kill_decider_after(steps: u64) {
     let mut mesh = Mesh::start(good).await;
-    mesh.wait_for_status("Running v2").await;
+    let recorded = async {
+        while mesh.log.read_newest(STEP_STREAM).await.unwrap().end < Offset(steps) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let recorded = tokio::time::timeout(OUTCOME_TIMEOUT, recorded).await;
+    assert!(recorded.is_ok(), "{steps} steps are not recorded");
     // Dropping a node ends its tasks and connections at once, like SIGKILL.
     drop(mesh.deciders.remove(0));
     mesh.wait_for_status("Succeeded v2").await;
     Mesh::expect_quiet(&mesh.old).await;
 }
 
+/// Guards against a roll-out that stays where it is when the node that decides is killed in its first
+/// step.
+#[tokio::test]
+async fn a_decider_killed_in_the_canary_step_is_replaced() {
+    kill_decider_after(1).await;
+}
+
+/// Guards against a roll-out that stays where it is, or begins anew, when the node that decides is
+/// killed while both versions serve.
+#[tokio::test]
+async fn a_decider_killed_in_the_parallel_step_is_replaced() {
+    kill_decider_after(2).await;
+}
+
+/// Guards against an old version that is opened again, or never stopped, when the node that decides
+/// is killed while it is closed.
+#[tokio::test]
+async fn a_decider_killed_in_the_switch_is_replaced() {
+    kill_decider_after(3).await;
+}
+
+/// Guards against a status that is never written when the node that decides is killed between the last
+/// step and the status.
+#[tokio::test]
+async fn a_decider_killed_after_the_last_step_is_replaced() {
+    kill_decider_after(4).await;
+}
+
+/// Guards against a roll-out that stays where it is when the node that decides reaches all nodes, and
+/// not the log.
+#[tokio::test]
+async fn a_decider_without_the_log_is_replaced() {
+    let mesh = Mesh::start(good).await;
+    mesh.wait_for_status("Running v2").await;
+    mesh.first_decider_log.set_fault(KeyedFault::Unresponsive);
+    mesh.wait_for_status("Succeeded v2").await;
+    Mesh::expect_quiet(&mesh.old).await;
+}
+
 /// Guards against a bad version that gets requests because the log is away from the begin of the
 /// roll-out until after its deadline, and against an outcome that is then not written.
 #[tokio::test]
--- a/crates/rollout/src/gate.rs
+++ b/crates/rollout/src/gate.rs
@@ -25,8 +25,8 @@
     order: Option<Order>,
     /// Last plan for the present incarnation, and when it was received.
     plan: Option<(Plan, Time)>,
-    /// Final step of the roll-out, if it is known.
-    outcome: Option<Step>,
+    /// Latest step of the roll-out that is known here.
+    reached: Option<Step>,
     /// Requests admitted since `order` became known.
     admitted: u64,
 }
@@ -57,7 +57,7 @@
         if old.id == new.id {
             return false;
         }
-        if self.outcome.is_none() && old.target_version == new.target_version {
+        if self.outcome().is_none() && old.target_version == new.target_version {
             self.order = Some(new.clone());
             return false;
         }
@@ -68,20 +68,28 @@
     fn begin(&mut self, order: Option<&Order>) {
         self.order = order.cloned();
         self.plan = None;
-        self.outcome = None;
+        self.reached = None;
         self.admitted = 0;
     }
 
-    /// Applies a plan. One of another order is ignored, as is an earlier step after a final one.
+    /// Applies a plan. One of another order is ignored, as is one of an earlier step: a decider that was
+    /// paused gives such plans until it has read the log.
     pub fn apply(&mut self, now: Time, plan: Plan) {
         let is_own = self.order.as_ref().is_some_and(|o| o.id == plan.order);
-        if !is_own || (self.outcome.is_some() && !plan.step.is_final()) {
+        let is_earlier = self.reached.is_some_and(|reached| match reached {
+            Step::Succeeded | Step::RolledBack => plan.step != reached,
+            Step::Canary | Step::Parallel | Step::Switch => plan.step < reached,
+        });
+        if !is_own || is_earlier {
             return;
         }
         self.plan = Some((plan, now));
-        if plan.step.is_final() {
-            self.outcome = Some(plan.step);
-        }
+        self.reached = Some(plan.step);
+    }
+
+    /// Returns the final step of the roll-out, if it is known here.
+    fn outcome(&self) -> Option<Step> {
+        self.reached.filter(|step| step.is_final())
     }
 
     /// Counts an admitted request.
@@ -96,7 +104,7 @@
 
     /// Returns the order of the target's service if its outcome is not known here.
     pub fn running_order(&self) -> Option<&Order> {
-        self.order.as_ref().filter(|_| self.outcome.is_none())
+        self.order.as_ref().filter(|_| self.outcome().is_none())
     }
 
     /// Returns the software version of the target.
@@ -104,9 +112,9 @@
         self.software.as_ref()
     }
 
-    /// Returns the step that the last plan named.
+    /// Returns the latest step that a plan named.
     pub fn step(&self) -> Option<Step> {
-        self.outcome.or(self.plan.map(|(p, _)| p.step))
+        self.reached
     }
 
     /// Returns what the node may admit at `now`. A limited admission may be used up, see
@@ -116,7 +124,7 @@
             return self.admission_without_order(now);
         };
         let is_new = self.software.as_ref() == Some(&order.target_version);
-        match (self.plan, self.outcome) {
+        match (self.plan, self.outcome()) {
             (Some((plan, at)), _) => match plan.admission {
                 Admission::Limited { .. } if now.since(at) > PLAN_TTL => Admission::Closed,
                 admission => admission,
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -1,9 +1,9 @@
 //! Sequential tests of an instance against the old version.
 //!
 //! Two properties of a response are tested on each route: whether it is a failure, and whether it is
-//! slow, which means twice as slow as nearly all of the old version's or abandoned by its caller. Both are tested with a cumulative sum of
-//! log-likelihood ratios, which is bounded below by 0, so that a version that turns bad late is found
-//! as fast as one that is bad from the start.
+//! slow, which means twice as slow as nearly all of the old version's or abandoned by its caller. Both
+//! are tested with a cumulative sum of log-likelihood ratios, which is bounded below by 0, so that a
+//! version that turns bad late is found as fast as one that is bad from the start.
 
 use std::collections::BTreeMap;
 
@@ -37,6 +37,9 @@
 /// slow: two buckets are a factor of 2. A high quantile contains the slower machines.
 const SLOW_QUANTILE: f64 = 0.9;
 const SLOW_BUCKETS: usize = 2;
+/// First bucket of responses that count as slow however fast the others are: 32 ms. Below it, the delays
+/// of a busy machine can't be told from a slow version, and few callers notice them.
+const MIN_SLOW_BUCKET: usize = 11;
 /// Measured responses of the old version on a route below which slowness is not tested there.
 const MIN_TIMED: u64 = 20;
 
@@ -82,7 +85,7 @@
         RouteBaseline {
             failure_share: share(old.failures, old.answers),
             slow: usual.map(|bucket| {
-                let first = bucket + SLOW_BUCKETS;
+                let first = (bucket + SLOW_BUCKETS).max(MIN_SLOW_BUCKET);
                 (first, share(old.slow(first), timed + old.abandoned))
             }),
         }
--- a/crates/rollout/tests/rollouts.rs
+++ b/crates/rollout/tests/rollouts.rs
@@ -250,6 +250,125 @@
     }
 }
 
+/// A decider with what it knows of the log of steps.
+struct Node {
+    decider: Decider,
+    /// Number of steps that it has read or recorded.
+    end: usize,
+}
+
+impl Node {
+    fn start(log: &[Step], now: Time) -> Node {
+        let step = log.last().copied().unwrap_or(Step::Canary);
+        Node {
+            decider: Decider::new(order(), EXPOSURE, Time::ZERO, step, now),
+            end: log.len(),
+        }
+    }
+
+    /// Takes a report as a node does: a roll-back that is not recorded yet takes effect in the
+    /// admission only.
+    fn report(&mut self, log: &[Step], now: Time, report: Report) -> Plan {
+        let plan = self.decider.report(now, report);
+        let step = self.end.checked_sub(1).map_or(Step::Canary, |i| log[i]);
+        Plan { step, ..plan }
+    }
+
+    fn read(&mut self, log: &[Step], now: Time) {
+        self.end = log.len();
+        let Some(recorded) = log.last().copied() else {
+            return;
+        };
+        let is_pending = self.decider.step() == Step::RolledBack && !recorded.is_final();
+        if !is_pending && self.decider.step() != recorded {
+            self.decider.enter(now, recorded);
+        }
+    }
+
+    /// Records the step that is due, unless another decider has recorded one since the last read.
+    fn decide(&mut self, log: &mut Vec<Step>, now: Time) {
+        let recorded = self.end.checked_sub(1).map(|i| log[i]);
+        let is_pending = recorded.is_some_and(|step| step != self.decider.step());
+        let due = match is_pending {
+            true => Some(self.decider.step()),
+            false => self
+                .decider
+                .next(now, OLD_COUNT + NEW_COUNT)
+                .map(|t| t.step),
+        };
+        let Some(step) = due else { return };
+        if step == Step::RolledBack {
+            self.decider.enter(now, step);
+        }
+        if self.end == log.len() {
+            log.push(step);
+            self.end = log.len();
+            self.decider.enter(now, step);
+        } else {
+            self.read(log, now);
+        }
+    }
+}
+
+/// Plays a roll-out in which half of the instances reach only a second decider from round `cut_from`,
+/// for `cut_rounds`. That one begins to decide then, and both reach the log.
+fn play_cut(
+    kind: Kind,
+    per_round: usize,
+    cut_from: usize,
+    cut_rounds: usize,
+    seed: u64,
+) -> Outcome {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let faults = Faults::default();
+    let old = (0..OLD_COUNT).map(|i| instance(i, "v1", faults));
+    let new = (0..NEW_COUNT).map(|i| instance(OLD_COUNT + i, "v2", faults));
+    let mut all: Vec<_> = old.chain(new).collect();
+    let mut log = vec![Step::Canary];
+    let mut first = Node::start(&log, Time::ZERO);
+    let mut second = None;
+    let mut outcome = Outcome::default();
+    for round in 1..=(DURATION.as_millis() / ROUND.as_millis()) as usize {
+        let age = ROUND * round as u32;
+        let now = Time::ZERO + age;
+        send_requests(
+            &mut all,
+            &mut rng,
+            (kind, faults),
+            per_round,
+            age,
+            &mut outcome,
+        );
+        let is_cut = (cut_from..cut_from + cut_rounds).contains(&round);
+        if !is_cut {
+            second = None;
+        } else if second.is_none() {
+            second = Some(Node::start(&log, now));
+        }
+        for (i, instance) in all.iter_mut().enumerate() {
+            let node = match &mut second {
+                Some(second) if i % 2 == 1 => second,
+                _ => &mut first,
+            };
+            let plan = node.report(&log, now, instance.report(now));
+            instance.gate.apply(now, plan);
+        }
+        for node in [Some(&mut first), second.as_mut()].into_iter().flatten() {
+            node.decide(&mut log, now);
+            // Nodes read the log once a second.
+            if round % 3 == 0 {
+                node.read(&log, now);
+            }
+        }
+        if let Some(last) = log.last().filter(|s| s.is_final()) {
+            outcome.step.get_or_insert(*last);
+        }
+    }
+    let is_ordered = log.windows(2).all(|w| w[0] < w[1]);
+    assert!(is_ordered, "steps go back: {log:?}");
+    outcome
+}
+
 fn bound(total: u64) -> f64 {
     EXPOSURE.share * total as f64 + EXPOSURE.slack
 }
@@ -363,6 +482,26 @@
     }
 }
 
+/// Guards against good versions that are rolled back since a busy machine answers some milliseconds
+/// later than the others, where all responses are fast.
+#[test]
+fn delays_of_a_few_milliseconds_are_not_slowness() {
+    let mut old = instance(0, "v1", Faults::default());
+    let mut new = instance(OLD_COUNT, "v2", Faults::default());
+    let mut decider = Decider::new(order(), EXPOSURE, Time::ZERO, Step::Parallel, Time::ZERO);
+    for round in 1..=20u32 {
+        let now = Time::ZERO + ROUND * round;
+        for _ in 0..20 {
+            let took = |ms| Some(Duration::from_millis(ms));
+            old.evidence.record(0, took(2), false);
+            new.evidence.record(0, took(15), false);
+        }
+        decider.report(now, old.report(now));
+        decider.report(now, new.report(now));
+    }
+    assert_eq!(decider.step(), Step::Parallel);
+}
+
 /// Returns the gate of a target of the new version, with a plan.
 fn gate_with(step: Step, admission: Admission) -> Gate {
     let order = order();
@@ -398,6 +537,24 @@
     assert_that!(gate.may_admit(Time::from_millis(71_000)), eq(true));
 }
 
+/// Guards against a decider that was paused and answers by an earlier step: an old version that opens
+/// again gets requests that end with its targets.
+#[test]
+fn a_plan_of_an_earlier_step_is_ignored() {
+    let mut gate = gate_with(Step::Switch, Admission::Closed);
+    let plan = |step, admission| Plan {
+        order: order().id,
+        step,
+        admission,
+    };
+    gate.apply(Time::ZERO, plan(Step::Parallel, Admission::Open));
+    assert_that!(gate.may_admit(Time::ZERO), eq(false));
+    gate.apply(Time::ZERO, plan(Step::Succeeded, Admission::Closed));
+    gate.apply(Time::ZERO, plan(Step::RolledBack, Admission::Open));
+    assert_that!(gate.may_admit(Time::ZERO), eq(false));
+    assert_that!(gate.step(), eq(Some(Step::Succeeded)));
+}
+
 /// Guards against requests at the new version of a node that has lost its decider.
 #[test]
 fn a_limited_admission_ends_without_plans() {
@@ -431,6 +588,26 @@
         ..ProptestConfig::default()
     })]
 
+    /// Guards against two deciders at once, on both sides of a cut, that expose more together than the
+    /// operators allow, that promote a bad version, or that end a roll-out while an instance beyond
+    /// the cut still admits requests to the old version.
+    #[test]
+    fn deciders_on_both_sides_of_a_cut_are_harmless(
+        seed: u64,
+        rate in 1..300usize,
+        cut_from in 0..36usize,
+        cut_rounds in 1..40usize,
+        share in prop_oneof![Just(0.0), 0.25..1.0],
+    ) {
+        let kind = if share == 0.0 { Kind::Good } else { Kind::Fails(share) };
+        let outcome = play_cut(kind, rate, cut_from, cut_rounds, seed);
+        prop_assert_eq!(outcome.old_after_success, 0);
+        if kind != Kind::Good {
+            prop_assert!(outcome.step != Some(Step::Succeeded), "{outcome:?}");
+            prop_assert!(outcome.new as f64 <= bound(outcome.total), "{outcome:?}");
+        }
+    }
+
     /// Guards against more requests at a bad version than the operators allow, with lost reports,
     /// restarts of instances and replaced deciders.
     #[test]
