--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -459,7 +459,9 @@
     maybe_ran: bool,
     id: &str,
 ) -> Response<Bytes> {
-    let status = status_of(refusal.code, maybe_ran);
+    let table = shared.versions.table();
+    let has_organisations = table.is_some_and(|t| t.organisations().is_some());
+    let status = status_of(refusal.code, maybe_ran, has_organisations);
     let executed = if maybe_ran {
         Executed::Unknown
     } else {
@@ -494,7 +496,7 @@
     res
 }
 
-fn status_of(code: Code, maybe_ran: bool) -> StatusCode {
+fn status_of(code: Code, maybe_ran: bool, has_organisations: bool) -> StatusCode {
     if maybe_ran {
         return match code {
             Code::DeadlinePassed | Code::TargetTimeout => StatusCode::GATEWAY_TIMEOUT,
@@ -505,6 +507,10 @@
         // In place of the code's own 4xx status: callers of these deployments would not retry after
         // that, although a retry may succeed.
         Code::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
+        // To an organisation, 429 says that it is over its usage limit.
+        Code::QueueFull | Code::OverFairShare if has_organisations => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
         _ => code
             .http_status()
             .and_then(|s| StatusCode::from_u16(s).ok())
