Show roll-outs and organisations in briarlug status

Cause: what a node knows of a roll-out or of an organisation's requests stood in its logs only, and metrics did not tell organisations apart. Requests of an organisation that were refused before the first attempt, for want of memory, stayed counted against its limit.

Each admitted request ends in one place, which gives it back if it has not run.

--- a/crates/proxy/src/deciding.rs
+++ b/crates/proxy/src/deciding.rs
@@ -19,6 +19,7 @@
 use crate::rollouts::{ReportReply, Rollouts, learn_order};
 use crate::settings::RolloutStatus;
 use crate::shared::{Phase, Shared, sleep_unless_stopped};
+use crate::state::EvidenceState;
 
 /// Time between checks whether a step is due.
 const DECIDE_INTERVAL: Duration = Duration::from_millis(150);
@@ -163,6 +164,19 @@
 }
 
 impl Active {
+    /// Returns what operators see of the evidence.
+    pub(crate) fn evidence(&self) -> EvidenceState {
+        let (bad, judged) = self.decider.bad_instances();
+        let (requests, exposed) = self.decider.exposure();
+        EvidenceState {
+            step: self.recorded,
+            requests,
+            exposed,
+            bad,
+            judged,
+        }
+    }
+
     /// Takes `order` if it is the one that is decided on, or repeats it. Returns whether it is.
     fn take_order(&mut self, order: &Order) -> bool {
         let present = self.decider.order();
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -49,8 +49,6 @@
     pub(crate) deadline: Time,
     /// The request as sent to a target-side node; each attempt sets the times in its copy.
     pub(crate) call: Call,
-    /// The part of the organisation's limit, if the request has an organisation.
-    pub(crate) admitted: Option<Admitted>,
     /// The memory of the body, held until the request has its response.
     _memory: BodyMemory,
 }
@@ -76,20 +74,22 @@
         .unwrap_or_default()
         .to_owned();
     let mut guard = DisconnectGuard::new(&shared, &id, arrived_at);
-    let response = match accept(&shared, arrival, &id).await {
+    let mut admitted = None;
+    let response = match accept(&shared, arrival, &id, &mut admitted).await {
         Ok(pending) => {
             guard.service = Some(pending.call.service.clone());
             let final_outcome = attempts::run(&shared, &pending).await;
-            if let FinalOutcome::Refused {
-                maybe_ran: false, ..
-            } = &final_outcome
-                && let Some(admitted) = &pending.admitted
-            {
-                usage_limits::give_back(&shared, admitted);
-            }
+            let has_run = match &final_outcome {
+                FinalOutcome::Refused { maybe_ran, .. } => *maybe_ran,
+                FinalOutcome::Answer { .. } => true,
+            };
+            usage_limits::end(&shared, admitted, has_run);
             final_response(&shared, &pending, final_outcome, &id)
         }
-        Err(refusal) => refusal_response(&shared, refusal, arrived_at, &id),
+        Err(refusal) => {
+            usage_limits::end(&shared, admitted, false);
+            refusal_response(&shared, refusal, arrived_at, &id)
+        }
     };
     guard.is_answered = true;
     shared
@@ -131,8 +131,14 @@
 }
 
 /// Selects the route and the service of a request and reads its body; refuses the request if the
-/// node takes none, no route matches, the body is too large or the request is quarantined.
-async fn accept(shared: &Shared, arrival: Arrival, id: &str) -> Result<Pending, Refusal> {
+/// node takes none, no route matches, the body is too large or the request is quarantined. `admitted`
+/// is set once the request counts for its organisation.
+async fn accept(
+    shared: &Shared,
+    arrival: Arrival,
+    id: &str,
+    admitted: &mut Option<Admitted>,
+) -> Result<Pending, Refusal> {
     if shared.phase() >= Phase::Refusing {
         return Err(Code::Draining.into());
     }
@@ -177,22 +183,19 @@
         excluded.extend([&header::AUTHORIZATION, &header_names.organisation]);
     }
     let mut headers = names::end_to_end(&head.headers, &excluded);
-    let admitted = match &organisation {
-        Some(organisation) => {
-            let name = Bytes::copy_from_slice(organisation.name.as_bytes());
-            headers.push((header_names.organisation.as_str().to_owned(), name));
-            let admitted = usage_limits::admit(shared, shared.now(), organisation);
-            Some(admitted.map_err(|refusal| {
-                shared.metrics.count(Metric::UsageRefusals);
-                let remaining = deadline.since(shared.now());
-                Refusal {
-                    retry_after: bounded_retry_after(refusal.retry_after, remaining),
-                    ..refusal
-                }
-            })?)
-        }
-        None => None,
-    };
+    if let Some(organisation) = &organisation {
+        let name = Bytes::copy_from_slice(organisation.name.as_bytes());
+        headers.push((header_names.organisation.as_str().to_owned(), name));
+        let counted = usage_limits::admit(shared, shared.now(), organisation);
+        *admitted = Some(counted.map_err(|refusal| {
+            shared.metrics.count(Metric::UsageRefusals);
+            let remaining = deadline.since(shared.now());
+            Refusal {
+                retry_after: bounded_retry_after(refusal.retry_after, remaining),
+                ..refusal
+            }
+        })?);
+    }
     let caller = shared.service();
     headers.push((
         header_names.caller_service.as_str().to_owned(),
@@ -256,7 +259,6 @@
         due: due.min(deadline),
         deadline,
         call,
-        admitted,
         _memory: memory,
     })
 }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -16,6 +16,7 @@
 
 use crate::settings::{Settings, TargetSettings};
 use crate::shared::{Phase, Shared};
+use crate::state::{self, NodeState};
 use crate::{
     beside, connections, deciding, departures, freshness, health, link, listen, rollouts, source,
     usage_limits,
@@ -219,8 +220,14 @@
             ));
         }
         self.0.latencies.write_text(&mut out);
+        state::write_metrics(&self.0, &mut out);
         out
     }
+
+    /// Returns what the node knows of roll-outs and organisations.
+    pub fn state(&self) -> NodeState {
+        state::read(&self.0)
+    }
 }
 
 async fn bind(addr: SocketAddr) -> Result<TcpListener, StartError> {
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -401,6 +401,10 @@
     pub(crate) fn len(&self) -> usize {
         self.by_key.len()
     }
+
+    pub(crate) fn connected_count(&self) -> usize {
+        self.by_key.values().filter(|p| p.client.is_some()).count()
+    }
 }
 
 impl Peer {
--- a/crates/proxy/src/rollouts.rs
+++ b/crates/proxy/src/rollouts.rs
@@ -6,6 +6,7 @@
 //! one without slots, so that entry nodes need not know of a roll-out.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -46,7 +47,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct State {
     pub(crate) book: OrderBook,
-    gate: Gate,
+    pub(crate) gate: Gate,
     /// What the target's responses showed since the order became known.
     evidence: Evidence,
     /// Admission that the target's queue has, and whether it admits requests.
@@ -349,6 +350,15 @@
     candidates.take(MAX_NODES_ASKED).collect()
 }
 
+/// Returns the node that is asked first to decide on the roll-out of a service.
+pub(crate) fn first_decider(shared: &Shared, service: &ServiceName) -> Option<SocketAddr> {
+    let ranks = shared.peers.lock().decider_ranks(service);
+    let s = &shared.settings;
+    let own = deciding::rank(service, s.peer_addr, s.link_mbps);
+    let all = ranks.into_iter().map(|(rank, _)| rank).chain([own]);
+    all.max().map(|(.., link)| link)
+}
+
 fn apply_plan(shared: &Shared, plan: Plan) {
     let Some(rollouts) = &shared.rollouts else {
         return;
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -16,7 +16,7 @@
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::task::TaskTracker;
-use usage::{Ledger, LocalUsage};
+use usage::{Ledger, LocalUsage, Tallies};
 use wire::{Fingerprint, Refusal, ServiceName, Time};
 
 use crate::body_memory::BodyPool;
@@ -141,6 +141,7 @@
     /// Usage of organisations at this node, and that of all nodes if this one adds it up.
     pub(crate) usage: Mutex<LocalUsage>,
     pub(crate) usage_ledger: Mutex<Ledger>,
+    pub(crate) tallies: Mutex<Tallies>,
     /// Bodies that peers have announced and whose requests have not started.
     pub(crate) uploads: Arc<Uploads>,
     /// `None` if the operators of the deployment order no roll-outs.
@@ -223,6 +224,7 @@
             freshness: Mutex::default(),
             usage: Mutex::default(),
             usage_ledger: Mutex::default(),
+            tallies: Mutex::default(),
             uploads: Arc::default(),
             rollouts: settings.rollouts.clone().map(Rollouts::new),
             transfers: AtomicU64::new(0),
--- a/crates/proxy/src/usage_limits.rs
+++ b/crates/proxy/src/usage_limits.rs
@@ -20,9 +20,13 @@
 /// Stands for a service in the rank of the node that adds up.
 const RANK_NAME: &str = "usage limits";
 
-/// An admitted request. It counts against the limit unless it is given back.
+/// An admitted request of an organisation.
 #[derive(Debug)]
-pub(crate) struct Admitted(Option<u64>);
+pub(crate) struct Admitted {
+    organisation: u64,
+    /// Whether it counts against a limit.
+    is_limited: bool,
+}
 
 /// Decides whether a request of an organisation is within its limit.
 pub(crate) fn admit(
@@ -30,24 +34,40 @@
     now: Time,
     organisation: &Organisation,
 ) -> Result<Admitted, Refusal> {
+    let admitted = Admitted {
+        organisation: organisation.id,
+        is_limited: organisation.limit.is_some(),
+    };
     let Some(limit) = organisation.limit.map(to_limit) else {
-        return Ok(Admitted(None));
+        return Ok(admitted);
     };
     let nodes = shared.peers.lock().len() + 1;
-    let mut usage = shared.usage.lock();
-    match usage.admit(now, organisation.id, limit, nodes) {
-        Ok(()) => Ok(Admitted(Some(organisation.id))),
-        Err(wait) => Err(Refusal {
+    let result = shared
+        .usage
+        .lock()
+        .admit(now, organisation.id, limit, nodes);
+    result.map(|()| admitted).map_err(|wait| {
+        shared.tallies.lock().of(organisation.id).over_limit += 1;
+        Refusal {
             code: Code::OverUsageLimit,
             retry_after: Some(wait),
-        }),
-    }
+        }
+    })
 }
 
-/// Takes back a request that was refused without a run.
-pub(crate) fn give_back(shared: &Shared, admitted: &Admitted) {
-    if let Some(organisation) = admitted.0 {
-        shared.usage.lock().give_back(organisation);
+/// Counts the end of a request, if it is one of an organisation. One that was refused without a run
+/// does not count against the limit.
+pub(crate) fn end(shared: &Shared, admitted: Option<Admitted>, has_run: bool) {
+    let Some(admitted) = admitted else { return };
+    let mut tallies = shared.tallies.lock();
+    let tally = tallies.of(admitted.organisation);
+    if has_run {
+        tally.sent += 1;
+        return;
+    }
+    tally.refused += 1;
+    if admitted.is_limited {
+        shared.usage.lock().give_back(admitted.organisation);
     }
 }
 
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -283,8 +283,12 @@
         self.node.as_ref().expect("the node runs")
     }
 
+    pub(crate) fn handle(&self) -> proxy::Handle {
+        self.node().handle()
+    }
+
     pub(crate) fn is_ready(&self) -> bool {
-        self.node().handle().is_ready()
+        self.handle().is_ready()
     }
 
     /// Reports the target as an instance of the service `desk` with 4 slots.
--- a/crates/proxy/tests/organisations.rs
+++ b/crates/proxy/tests/organisations.rs
@@ -169,4 +169,14 @@
         "{ran} of {limit}"
     );
     assert!(refused > 0);
+    // Operators see who was refused, by name and not by key.
+    let page = node.handle().state();
+    let small = page.organisations.iter().find(|o| o.name == "small");
+    let small = small.expect("the organisation is shown").requests;
+    assert!(small.over_limit > 0 && small.sent > 0, "{small:?}");
+    let line =
+        "briarlug_organisation_requests_total{organisation=\"free\",outcome=\"over_limit\"} 0\n";
+    let metrics = node.handle().metrics_text();
+    assert!(metrics.contains(line), "{metrics}");
+    assert!(!metrics.contains("-key"), "{metrics}");
 }
--- a/crates/proxy/tests/rollouts.rs
+++ b/crates/proxy/tests/rollouts.rs
@@ -11,11 +11,11 @@
     Caller, MEMORY_BYTES, Response, TestNode, VERSION_STREAM, echo_path, free_addr, log_with,
     ok_response, received_requests, script, settings,
 };
-use fakes::{FakeKeyedLog, KeyedFault, ReceivedRequest, ScriptedTarget, Step};
+use fakes::{FakeKeyedLog, KeyedFault, ReceivedRequest, ScriptedTarget};
 use parking_lot::Mutex;
 use plat::KeyedLog;
 use proxy::{RolloutSettings, RolloutStatus};
-use rollout::{ExposureCfg, Order, RawOrder};
+use rollout::{Admission, ExposureCfg, Order, RawOrder, Step};
 use tokio::task::JoinSet;
 use wire::Offset;
 
@@ -108,7 +108,9 @@
 
 impl Mesh {
     /// Starts the nodes, orders the roll-out of `v2`, and starts its targets, which answer by `new`.
-    async fn start(new: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + 'static) -> Mesh {
+    async fn start(
+        new: impl Fn(&ReceivedRequest) -> Vec<fakes::Step> + Send + Sync + 'static,
+    ) -> Mesh {
         let log = log_with(1);
         let mut mesh = Mesh {
             log: log.clone(),
@@ -217,19 +219,19 @@
     caller.response().await
 }
 
-fn good(req: &ReceivedRequest) -> Vec<Step> {
-    vec![Step::Send(ok_response(req, &req.path))]
+fn good(req: &ReceivedRequest) -> Vec<fakes::Step> {
+    vec![fakes::Step::Send(ok_response(req, &req.path))]
 }
 
 /// Fails half of the requests.
-fn bad(req: &ReceivedRequest) -> Vec<Step> {
+fn bad(req: &ReceivedRequest) -> Vec<fakes::Step> {
     let id = req.header("x-id");
     if id.ends_with(['0', '2', '4', '6', '8']) {
         return good(req);
     }
     let head =
         format!("HTTP/1.1 500 Error\r\nx-id: {id}\r\nx-proof: p\r\ncontent-length: 0\r\n\r\n");
-    vec![Step::Send(head.into_bytes())]
+    vec![fakes::Step::Send(head.into_bytes())]
 }
 
 /// Guards against a good version that does not get all requests in time, and against requests that
@@ -242,6 +244,15 @@
     assert!(started.elapsed() < DURATION);
     Mesh::expect_quiet(&mesh.old).await;
     assert_eq!(*mesh.failed.lock(), [""; 0], "requests failed");
+    // Operators see what the deciding node decided by, and that the old version is closed.
+    let page = mesh.deciders[0].0.handle().state();
+    let evidence = page.rollouts[0].evidence.expect("the node decides");
+    assert_eq!(evidence.step, Step::Succeeded);
+    assert!(evidence.judged > 0 && evidence.bad == 0, "{evidence:?}");
+    let page = mesh.old[0].0.handle().state();
+    assert_eq!(page.rollouts[0].admission, Some(Admission::Closed));
+    let decider = mesh.deciders[0].0.peer_addr;
+    assert_eq!(page.rollouts[0].decider, Some(decider));
 }
 
 /// Guards against a bad version that gets more than its share, or that is not rolled back.
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -11,10 +11,12 @@
 mod bucket;
 mod ledger;
 mod local;
+mod tally;
 
 pub use bucket::UsageLimit;
 pub use ledger::Ledger;
 pub use local::LocalUsage;
+pub use tally::{Tallies, Tally};
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/usage/tests/limits.rs
+++ b/crates/usage/tests/limits.rs
@@ -5,7 +5,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use usage::{Ledger, LocalUsage, UsageLimit};
+use usage::{Ledger, LocalUsage, Tallies, UsageLimit};
 use wire::Time;
 
 const NODES: usize = 85;
@@ -138,3 +138,20 @@
     let alone = LIMIT.rate_per_s() * WINDOW.as_secs_f64() / 2.0;
     assert!(worst <= bound() + alone, "{worst}");
 }
+
+/// Guards against a page that grows with the number of organisations, or that loses requests.
+#[test]
+fn the_page_of_organisations_is_bounded() {
+    let mut tallies = Tallies::default();
+    for id in 0..500u64 {
+        tallies.of(id).sent += id;
+        tallies.of(id).refused += 1;
+    }
+    let (top, rest) = tallies.top(10);
+    assert_eq!(top.len(), 10);
+    assert_eq!(top[0].0, 499);
+    let sent: u64 = top.iter().map(|(_, t)| t.sent).sum();
+    assert_eq!(sent + rest.sent, (0..500).sum::<u64>());
+    assert_eq!(rest.refused, 490);
+    assert_eq!(tallies.top(1_000).0.len(), 500);
+}
--- a/tests/status.rs
+++ b/tests/status.rs
@@ -98,3 +98,48 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
+
+/// Guards against roll-outs and organisations that the page of a node on the users' platform has and the
+/// table does not show.
+#[tokio::test(flavor = "multi_thread")]
+async fn platform_table_shows_roll_outs_and_organisations() {
+    let page = serde_json::json!({
+        "name": "n1", "service": "desk", "is_ready": true, "version": 7, "peers": 3,
+        "rollouts": [{
+            "service": "desk", "target_version": "v2", "age_ms": 4200, "duration_ms": 16000,
+            "step": "Canary", "admission": {"Limited": {"slots": 4, "until": 90}},
+            "decider": "10.0.0.1:7500",
+            "evidence": {"step": "Canary", "requests": 1000, "exposed": 70, "bad": 1, "judged": 6}
+        }],
+        "organisations": [{
+            "name": "resorts", "requests": {"sent": 900, "over_limit": 40, "refused": 5}
+        }],
+        "other_organisations": {"sent": 12, "over_limit": 0, "refused": 0}
+    });
+    let app = axum::Router::new().route(
+        "/v1/state",
+        axum::routing::get(|| async { axum::Json(page) }),
+    );
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let server = tokio::spawn(async move { axum::serve(listener, app).await.unwrap() });
+    let wrk = Workdir::new("status-platform");
+    let status = tokio::task::spawn_blocking(move || {
+        let mut cmd = wrk.command("status");
+        cmd.args(["--platform", &url]).output().unwrap()
+    });
+    let out = status.await.unwrap();
+    server.abort();
+    assert_that!(out.status.code(), some(eq(0)), "{}", stderr(&out));
+    let table = stdout(&out);
+    for line in [
+        "n1 service=desk ready=true version=7 peers=3\n",
+        "desk                     v2               canary        4.2/16.0 s 10.0.0.1:7500\n",
+        "  this node admits: 4 at a time, 90 since the order\n",
+        "  this node decides: 70 of 1000 requests exposed, 1 of 6 judged instances bad\n",
+        "resorts                         900         40          5\n",
+        "(others)                         12          0          0\n",
+    ] {
+        assert_that!(table, contains_substring(line), "{table}");
+    }
+}
