Share a target's slots among organisations

Cause: under shortage the slots of a target went to requests by priority, length and objective, so that an organisation with many requests, or one that repeats them, took the slots of the others.

Change: within a priority, requests of organisations that hold less than an equal share of the target's slots go before the excess of others. Without organisations in the text nothing changes.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -41,5 +41,5 @@
 pub use offer::{Class, Event, Finish, Offer, RequestKey, Verdict};
 pub use staged_body::{check_staged_body, transit_time};
 pub use target_queue::{
-    Job, JobEvent, JobKey, JobOutcome, JobVerdict, QueueState, RouteId, TargetQueue,
+    Job, JobEvent, JobKey, JobOutcome, JobVerdict, OrganisationId, QueueState, RouteId, TargetQueue,
 };
--- a/crates/admit/src/target_queue.rs
+++ b/crates/admit/src/target_queue.rs
@@ -2,7 +2,8 @@
 //!
 //! The queue is built for overload that lasts for seconds. Slots go first to requests that can
 //! still meet their latency objective: by priority, then short work before long, then by earliest
-//! objective. Requests that will miss theirs, mostly retries after a refusal, get the remaining
+//! objective. Among organisations, those within an equal share of the slots go before the excess of
+//! others of the same priority. Requests that will miss theirs, mostly retries after a refusal, get the remaining
 //! slots. A request that can't be served in time from its place in the queue is refused at once. A
 //! refused request has not reached the target.
 
@@ -42,6 +43,9 @@
 /// Identifies a route, for which a service time is learned.
 pub type RouteId = u64;
 
+/// Identifies an organisation, among which slots are shared.
+pub type OrganisationId = u64;
+
 /// A request for a slot.
 #[derive(Clone, Copy, Debug)]
 pub struct Job {
@@ -49,6 +53,8 @@
     pub route: RouteId,
     /// Priority of the route; 0 is the most urgent.
     pub priority: u32,
+    /// Organisation of the request, if the deployment has several.
+    pub organisation: Option<OrganisationId>,
     /// When the request asked for a slot.
     pub arrived: Time,
     /// Latency objective as a point in time: the response is late after it.
@@ -125,6 +131,9 @@
 struct Rank {
     timeliness: Timeliness,
     priority: u32,
+    /// Whole shares of the slots that the organisation had when the request came. Those within their
+    /// share go first, so that the excess of one takes only slots that the others leave.
+    shares_held: u32,
     /// Binary logarithm of the expected service time in milliseconds, so that only clear
     /// differences count.
     service_log2: u32,
@@ -147,6 +156,8 @@
     jobs: SlotMap<JobKey, JobState>,
     waiting: BTreeMap<Rank, JobKey>,
     running: u32,
+    /// Requests that run or wait, by organisation; an organisation without any has no entry.
+    present: HashMap<OrganisationId, u32>,
     /// Sequence number of the last offered request.
     last_seq: u64,
     /// Moving average of service times by route, in seconds.
@@ -166,6 +177,7 @@
             jobs: SlotMap::with_key(),
             waiting: BTreeMap::new(),
             running: 0,
+            present: HashMap::new(),
             last_seq: 0,
             route_service: HashMap::new(),
             mean_service_secs: INITIAL_SERVICE_TIME.as_secs_f64(),
@@ -198,6 +210,7 @@
             Err(refusal) => JobVerdict::Refuse(refusal),
             Ok(None) => JobVerdict::Run(self.start(now, job)),
             Ok(Some(rank)) => {
+                self.add_present(&job);
                 let key = self.jobs.insert(JobState::Waiting(rank, job));
                 self.waiting.insert(rank, key);
                 JobVerdict::Wait(key)
@@ -251,7 +264,7 @@
 
     /// Removes a request that holds a slot or waits. If it held a slot, learns from `outcome`.
     pub fn finish(&mut self, now: Time, key: JobKey, outcome: JobOutcome) {
-        match self.jobs.remove(key) {
+        match self.remove(key) {
             Some(JobState::Running(r)) => {
                 self.running -= 1;
                 self.record_outcome(now, &r, outcome);
@@ -283,7 +296,7 @@
                 self.jobs[key] = JobState::Running(Running { job, started: now });
                 events.push(JobEvent::Run(key));
             } else {
-                self.jobs.remove(key);
+                self.remove(key);
                 let refusal = self.refusal(Code::CannotStartInTime);
                 events.push(JobEvent::Refuse(key, refusal));
             }
@@ -331,8 +344,40 @@
         Duration::from_secs_f64(s.unwrap_or(self.mean_service_secs))
     }
 
+    fn add_present(&mut self, job: &Job) {
+        if let Some(organisation) = job.organisation {
+            *self.present.entry(organisation).or_default() += 1;
+        }
+    }
+
+    fn remove(&mut self, key: JobKey) -> Option<JobState> {
+        let state = self.jobs.remove(key)?;
+        let (JobState::Running(Running { job, .. }) | JobState::Waiting(_, job)) = state;
+        if let Some(organisation) = job.organisation
+            && let Some(present) = self.present.get_mut(&organisation)
+        {
+            *present -= 1;
+            if *present == 0 {
+                self.present.remove(&organisation);
+            }
+        }
+        Some(state)
+    }
+
+    /// Returns how many whole shares of the slots the organisation of a request has already. Shares are
+    /// equal among the organisations that have requests here, so that unused ones fall to the others.
+    fn shares_held(&self, job: &Job) -> u32 {
+        let Some(organisation) = job.organisation else {
+            return 0;
+        };
+        let present = self.present.get(&organisation).copied().unwrap_or(0);
+        let sharers = u32::try_from(self.present.len()).unwrap_or(u32::MAX);
+        present.saturating_mul(sharers) / self.slots
+    }
+
     fn start(&mut self, now: Time, job: Job) -> JobKey {
         self.running += 1;
+        self.add_present(&job);
         self.jobs
             .insert(JobState::Running(Running { job, started: now }))
     }
@@ -355,6 +400,7 @@
                 Timeliness::Late
             },
             priority: job.priority,
+            shares_held: self.shares_held(job),
             service_log2: (service.as_millis() as u64 | 1).ilog2(),
             objective: job.objective,
             seq: self.last_seq,
@@ -416,7 +462,7 @@
 
     fn refuse_all(&mut self, events: &mut Vec<JobEvent>) {
         while let Some((_, key)) = self.waiting.pop_first() {
-            self.jobs.remove(key);
+            self.remove(key);
             events.push(JobEvent::Refuse(key, Code::Draining.into()));
         }
     }
@@ -434,7 +480,7 @@
             .collect();
         for (rank, key) in unservable {
             self.waiting.remove(&rank);
-            self.jobs.remove(key);
+            self.remove(key);
             let refusal = self.refusal(Code::CannotStartInTime);
             events.push(JobEvent::Refuse(key, refusal));
         }
--- a/crates/admit/tests/link_load.rs
+++ b/crates/admit/tests/link_load.rs
@@ -17,6 +17,7 @@
     Job {
         route,
         priority: 0,
+        organisation: None,
         arrived: now,
         objective: now + Duration::from_millis(1_000),
         deadline: now + Duration::from_millis(2_500),
--- a/crates/admit/tests/target_queue.rs
+++ b/crates/admit/tests/target_queue.rs
@@ -23,6 +23,7 @@
     Job {
         route: ROUTE,
         priority,
+        organisation: None,
         arrived: at(100_000),
         objective: at(objective),
         deadline: at(deadline),
@@ -166,6 +167,7 @@
                 0 | 1 => match q.offer(now, Job {
                     route: index as u64,
                     priority: u32::from(action),
+                    organisation: None,
                     arrived: now,
                     objective: now + ms(200),
                     deadline: now + ms(1_000),
--- a/crates/proxy/src/beside.rs
+++ b/crates/proxy/src/beside.rs
@@ -106,7 +106,7 @@
 ) -> Result<Slot, Refusal> {
     let now = shared.now();
     check_admissible(shared, call, now)?;
-    let job = new_job(call, now);
+    let job = new_job(shared, call, now);
     let deadline = job.deadline;
     let (job, response_bytes) = match origin {
         Origin::Local => (job, 0),
@@ -164,11 +164,12 @@
     Ok((job, bytes))
 }
 
-fn new_job(call: &Call, now: Time) -> Job {
+fn new_job(shared: &Shared, call: &Call, now: Time) -> Job {
     let max_wait = call.max_wait_ms.map(|ms| Duration::from_millis(ms.into()));
     Job {
         route: call.route,
         priority: call.priority,
+        organisation: organisation(shared, call),
         arrived: now,
         objective: now + Duration::from_millis(call.due_ms),
         deadline: now + Duration::from_millis(call.remaining_ms),
@@ -177,6 +178,15 @@
     }
 }
 
+/// Returns the organisation that the entry node has named in a call. Without organisations in the text,
+/// the header is the caller's own and means nothing.
+fn organisation(shared: &Shared, call: &Call) -> Option<u64> {
+    shared.versions.table()?.organisations()?;
+    let header = shared.settings.header_names.organisation.as_str();
+    let named = call.headers.iter().find(|(name, _)| name == header);
+    named.map(|(_, value)| Fingerprint::of(&[value.as_ref()]).0)
+}
+
 /// Checks whether a peer may upload the body of `call`, of `len` bytes, before the call; returns
 /// the refusal if not.
 pub(crate) fn check_upload(
@@ -188,7 +198,7 @@
     check_admissible(shared, call, now)?;
     let uploads = &shared.uploads;
     let transit_time = admit::transit_time(uploads.bytes(), len, shared.settings.link_mbps);
-    let job = new_job(call, now);
+    let job = new_job(shared, call, now);
     let target = shared.target.lock();
     admit::check_staged_body(&target.queue, now, &job, transit_time, uploads.bodies())
 }
