--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -270,8 +270,12 @@
     headers: &HeaderMap,
     now: Time,
 ) -> Result<Arc<Organisation>, Refusal> {
-    let value = headers.get(header::AUTHORIZATION).map(|v| v.as_bytes());
-    let key = value.and_then(bearer_key);
+    let mut values = headers.get_all(header::AUTHORIZATION).iter();
+    let value = values.next().map(|v| v.as_bytes());
+    // With a second value it is not clear whose request it is.
+    let key = value
+        .filter(|_| values.next().is_none())
+        .and_then(bearer_key);
     let holder = key.and_then(|key| organisations.holder(key)).cloned();
     // Whether the key is known or not, an outdated table can't tell.
     if !shared.are_keys_confirmed(shared.now().max(now)) {
--- a/crates/proxy/tests/organisations.rs
+++ b/crates/proxy/tests/organisations.rs
@@ -9,6 +9,8 @@
     echo_path, free_addr, received_requests, settings, wait_until,
 };
 use fakes::{FakeKeyedLog, KeyedFault, ReceivedRequest, ScriptedTarget};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 
 const REVOKE_TIME: Duration = Duration::from_secs(2);
 /// Requests per second and burst of `small`.
@@ -96,6 +98,43 @@
     assert_eq!(last(&target).header("authorization"), "");
 }
 
+/// Guards against odd values of the key header that end the node or that run: other schemes, bytes that
+/// are no text, several values, parts of a key, and keys with something behind them.
+#[tokio::test]
+async fn odd_keys_run_nothing() {
+    let (_log, target, node) = start(&both(1)).await;
+    let mut rng = SmallRng::seed_from_u64(0x5eed_0011);
+    let mut caller = Caller::connect(node.caller_addr).await;
+    for i in 0..300 {
+        let mut value = match i % 6 {
+            0 => b"Bearer".to_vec(),
+            1 => b"Basic free-key".to_vec(),
+            2 => b"Bearer free-ke".to_vec(),
+            3 => b"Bearer free-key\r\nauthorization: Bearer odd".to_vec(),
+            4 => b"Bearer ".to_vec(),
+            _ => b"Bearer free-key ".to_vec(),
+        };
+        if i % 6 != 3 {
+            let odd = (0..rng.random_range(1..40)).map(|_| rng.random_range(0x21..=0xffu8));
+            value.extend(odd.filter(|b| *b != 0x7f));
+        }
+        let head =
+            format!("GET /safe/a HTTP/1.1\r\nhost: {HOST}\r\nx-id: r{i}\r\nx-left: 1500\r\n");
+        let request = [head.as_bytes(), b"authorization: ", &value, b"\r\n\r\n"].concat();
+        caller.write(&request).await;
+        let response = caller.response().await.expect("a response");
+        assert!(matches!(response.status, 400 | 401), "{value:?}");
+        if response.status == 400 {
+            caller = Caller::connect(node.caller_addr).await;
+        }
+    }
+    assert!(received_requests(&target).is_empty());
+    assert_eq!(
+        send(&node, "/safe/a", &with_key("free-key")).await.status,
+        200
+    );
+}
+
 /// Guards against a key that still runs requests after a version has taken it away.
 #[tokio::test]
 async fn a_key_that_is_taken_away_runs_nothing() {
