Read steps that an earlier release recorded, and play three roll-outs at a time

Cause: the number of nodes stood in the middle of a recorded step, so that releases before and after could not read each other's, and a decider would have begun a roll-out anew. At a load of 25 on 7 cores, ten meshes of roll-out tests at once had no processor left: six tests failed in two of nine runs.

Change: the number is the last field, and a record without it is read as 0; the stream of steps has a module of its own. The tests play three meshes at a time.

--- a/crates/proxy/src/deciding.rs
+++ b/crates/proxy/src/deciding.rs
@@ -7,24 +7,22 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use log::{info, warn};
 use ops::Metric;
-use plat::{LogError, encode_keyed};
+use plat::LogError;
 use rollout::{Decider, KnownOrder, Order, Reason, Report, Step};
-use serde::{Deserialize, Serialize};
 use wire::{Fingerprint, Offset, ServiceName, Time};
 
 use crate::rollouts::{ReportReply, Rollouts, learn_order};
 use crate::settings::RolloutStatus;
 use crate::shared::{Phase, Shared, sleep_unless_stopped};
 use crate::state::EvidenceState;
+use crate::step_log::{StepRecord, append, append_keyed, load, unix_ms};
 
 /// Time between checks whether a step is due.
 const DECIDE_INTERVAL: Duration = Duration::from_millis(150);
-/// Timeout of a call to the log.
-const LOG_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time that a node has to read the recorded step before others are asked to decide.
 const START_TIME: Duration = Duration::from_millis(600);
 /// Time for which a node that could not reach the log leaves the decision to others.
@@ -83,19 +81,6 @@
     reported_at: Time,
 }
 
-/// A recorded step.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct StepRecord {
-    order: Order,
-    step: Step,
-    /// Nodes of the service that should report. A successor may be cut off from some of them.
-    expected: u32,
-    /// Milliseconds from the order to the record, by the decider's clock.
-    age_ms: u64,
-    /// Wall-clock time of the record in milliseconds.
-    recorded_unix_ms: u64,
-}
-
 /// Receives a report of a node beside a target of the service.
 pub(crate) fn receive(shared: &Shared, known: &KnownOrder, report: Report) -> ReportReply {
     let Some(rollouts) = &shared.rollouts else {
@@ -296,14 +281,6 @@
     known.map_or(by_record, |at| at.min(by_record))
 }
 
-fn unix_ms() -> u64 {
-    // A clock before 1970 counts as 1970.
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    since_epoch.as_millis() as u64
-}
-
 /// Returns a step that is due, with the reason and its record. Ends a decision without reports.
 fn due_step(
     shared: &Shared,
@@ -489,57 +466,3 @@
         recorded_unix_ms: unix_ms(),
     }
 }
-
-/// Reads the recorded step of an order and the end of the stream.
-async fn load(
-    shared: &Shared,
-    rollouts: &Rollouts,
-    order: &Order,
-) -> Result<(Option<StepRecord>, Offset), LogError> {
-    let log = &shared.settings.source.log;
-    let read = log.read_newest(&rollouts.settings.step_stream);
-    let newest = within_limit(read).await?;
-    let key = order.service.0.as_bytes();
-    let record = newest.records.iter().find(|r| *r.key == *key);
-    let record = record.and_then(|r| postcard::from_bytes::<StepRecord>(&r.value).ok());
-    let is_own = |r: &StepRecord| {
-        let is_repeat = r.order.target_version == order.target_version && !r.step.is_final();
-        r.order.id == order.id || is_repeat
-    };
-    Ok((record.filter(is_own), newest.end))
-}
-
-/// Appends a step to the stream if that still ends at `end`, and returns its new end.
-async fn append(
-    shared: &Shared,
-    rollouts: &Rollouts,
-    record: &StepRecord,
-    end: Offset,
-) -> Result<Offset, LogError> {
-    let value = postcard::to_stdvec(record).map_err(plat::no_response_error)?;
-    let key = record.order.service.0.as_bytes();
-    let data = encode_keyed(key, &value).map_err(plat::no_response_error)?;
-    shared.metrics.count(Metric::LogAppends);
-    let log = &shared.settings.source.log;
-    let stream = &rollouts.settings.step_stream;
-    let appended = within_limit(log.append_at(stream, end, vec![data])).await?;
-    Ok(appended.next())
-}
-
-async fn append_keyed(
-    shared: &Shared,
-    stream: &str,
-    key: &[u8],
-    value: &[u8],
-) -> Result<(), LogError> {
-    let data = encode_keyed(key, value).map_err(plat::no_response_error)?;
-    shared.metrics.count(Metric::LogAppends);
-    let log = &shared.settings.source.log;
-    within_limit(log.append(stream, vec![data])).await?;
-    Ok(())
-}
-
-async fn within_limit<T>(call: impl Future<Output = Result<T, LogError>>) -> Result<T, LogError> {
-    let reply = tokio::time::timeout(LOG_TIMEOUT, call).await;
-    reply.unwrap_or_else(|_| Err(plat::no_response_error("no reply in time")))
-}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -42,6 +42,7 @@
 mod shared;
 mod source;
 mod state;
+mod step_log;
 mod transfer;
 mod upstream;
 mod usage_limits;
--- a/crates/proxy/tests/rollouts.rs
+++ b/crates/proxy/tests/rollouts.rs
@@ -16,6 +16,7 @@
 use plat::KeyedLog;
 use proxy::{RolloutSettings, RolloutStatus};
 use rollout::{Admission, ExposureCfg, Order, RawOrder, Step};
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::task::JoinSet;
 use wire::Offset;
 
@@ -37,6 +38,10 @@
     slack: 50.0,
 };
 
+/// Meshes that run at a time. Ten in a debug build keep 7 cores busy, and a version whose answers wait
+/// for a processor is rolled back.
+static MESHES: Semaphore = Semaphore::const_new(3);
+
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 /// Decodes `SERVICE VERSION SECONDS`.
@@ -71,6 +76,7 @@
 /// Nodes of old and new targets, and two of another service, which decide before all others because of
 /// their faster links.
 struct Mesh {
+    _permit: SemaphorePermit<'static>,
     log: FakeKeyedLog,
     /// Log as the first of the deciders reaches it.
     first_decider_log: FakeKeyedLog,
@@ -113,6 +119,7 @@
     ) -> Mesh {
         let log = log_with(1);
         let mut mesh = Mesh {
+            _permit: MESHES.acquire().await.unwrap(),
             log: log.clone(),
             first_decider_log: log.separate_path(),
             old: Vec::new(),
