--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,9 +9,11 @@
 //! - `beside`, `upstream`, `read_limit`, `health`: the target side.
 //! - `link`, `message`, `peers`, `transfer`, `outbox`: connections to other nodes.
 //! - `source`, `readers`, `versions`: the log, which nodes read it, and the routing table in force.
-//! - `rollouts`, `deciding`: roll-outs of a service's version, at each node and at the one that decides.
+//! - `rollouts`, `deciding`, `step_log`: roll-outs of a service's version, at each node and at the one
+//!   that decides, and the steps that it records.
 //! - `freshness`, `usage_limits`: keys and usage limits of organisations.
-//! - `node`: start and graceful shutdown; `shared`: state shared by the tasks;
+//! - `node`: start and graceful shutdown; `shared`: state shared by the tasks; `state`: what operators
+//!   see of it;
 //!   `body_memory`: the memory that a node takes for others; `connections`: those of callers, and
 //!   which are closed when memory or descriptors run short.
 
--- a/crates/proxy/tests/rollouts.rs
+++ b/crates/proxy/tests/rollouts.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use common::{
     Caller, MEMORY_BYTES, Response, TestNode, VERSION_STREAM, echo_path, free_addr, log_with,
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use plat::KeyedLog;
 use proxy::{RolloutSettings, RolloutStatus};
-use rollout::{Admission, ExposureCfg, Order, RawOrder, Step};
+use rollout::{Admission, ExposureCfg, Order, OrderId, RawOrder, Step};
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::task::JoinSet;
 use wire::Offset;
@@ -116,6 +116,14 @@
     /// Starts the nodes, orders the roll-out of `v2`, and starts its targets, which answer by `new`.
     async fn start(
         new: impl Fn(&ReceivedRequest) -> Vec<fakes::Step> + Send + Sync + 'static,
+    ) -> Mesh {
+        Mesh::start_at(new, None).await
+    }
+
+    /// Like [`Mesh::start`], with a step that an earlier release recorded.
+    async fn start_at(
+        new: impl Fn(&ReceivedRequest) -> Vec<fakes::Step> + Send + Sync + 'static,
+        recorded: Option<Step>,
     ) -> Mesh {
         let log = log_with(1);
         let mut mesh = Mesh {
@@ -144,6 +152,14 @@
         }
         let order = format!("desk v2 {}", DURATION.as_secs());
         log.put(VERSION_STREAM, "order/desk", order.as_bytes());
+        if let Some(step) = recorded {
+            let raw = decode_order(order.as_bytes()).unwrap();
+            // The version is the first record of the stream, the order the second.
+            let order = Order::try_from((OrderId(1), raw)).unwrap();
+            let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+            let record = (order, step, 0u64, since_epoch.as_millis() as u64);
+            log.put(STEP_STREAM, "desk", &postcard::to_stdvec(&record).unwrap());
+        }
         let new = script(new);
         for _ in 0..2 {
             let target = ScriptedTarget::start(false, new.clone()).await.unwrap();
@@ -316,6 +332,16 @@
     kill_decider_after(4).await;
 }
 
+/// Guards against a roll-out that begins anew after an upgrade, since the step that the earlier release
+/// recorded can't be read.
+#[tokio::test]
+async fn a_step_of_the_earlier_release_is_read() {
+    let mesh = Mesh::start_at(good, Some(Step::Switch)).await;
+    mesh.wait_for_status("Succeeded v2").await;
+    let end = mesh.log.read_newest(STEP_STREAM).await.unwrap().end;
+    assert_eq!(end, Offset(2), "only the last step is recorded");
+}
+
 /// Guards against a roll-out that stays where it is when the node that decides reaches all nodes, and
 /// not the log.
 #[tokio::test]
