Write no status of a roll-out after a later one

Change: before it writes a status, a decider reads the end of that stream and then the recorded step, and appends only at that end.

--- a/crates/proxy/src/deciding.rs
+++ b/crates/proxy/src/deciding.rs
@@ -19,7 +19,7 @@
 use crate::settings::RolloutStatus;
 use crate::shared::{Phase, Shared, sleep_unless_stopped};
 use crate::state::EvidenceState;
-use crate::step_log::{StepRecord, append, append_keyed, load, unix_ms};
+use crate::step_log::{StepRecord, append, append_keyed, load, status_end, unix_ms};
 
 /// Time between checks whether a step is due.
 const DECIDE_INTERVAL: Duration = Duration::from_millis(150);
@@ -365,7 +365,9 @@
                 active.decider.enter(now, step);
             }
         }
-        Err(LogError::Conflict { .. }) => reload(shared, rollouts, service, &record.order).await,
+        Err(LogError::Conflict { .. }) => {
+            reload(shared, rollouts, service, &record.order).await;
+        }
         Err(e) => {
             let mut state = rollouts.state.lock();
             if let Some(Deciding::Active(active)) = state.deciding.get_mut(service) {
@@ -383,21 +385,26 @@
     }
 }
 
-/// Takes over the recorded step after another node, or an append of this one whose reply was lost, has
-/// written to the stream.
-async fn reload(shared: &Shared, rollouts: &Rollouts, service: &ServiceName, order: &Order) {
+/// Takes over the recorded step, which another node, or an append of this one whose reply was lost, may
+/// have written. Returns whether it could be read.
+async fn reload(
+    shared: &Shared,
+    rollouts: &Rollouts,
+    service: &ServiceName,
+    order: &Order,
+) -> bool {
     let loaded = load(shared, rollouts, order).await;
     let now = shared.now();
     let mut state = rollouts.state.lock();
     let Some(Deciding::Active(active)) = state.deciding.get_mut(service) else {
-        return;
+        return false;
     };
     match loaded {
         Ok((record, end)) => {
             active.end = end;
             active.read_at = now;
             active.is_cut = false;
-            let Some(record) = record else { return };
+            let Some(record) = record else { return true };
             active.expected = active.expected.max(record.expected as usize);
             active.recorded = record.step;
             let is_pending_rollback =
@@ -405,35 +412,53 @@
             if !is_pending_rollback && active.decider.step() != record.step {
                 active.decider.enter(now, record.step);
             }
+            true
         }
         Err(e) => {
             active.is_cut = true;
             warn!(event = "rollout_log_failed", service:% = service, error:% = e; "cannot read the step of the roll-out; trying again");
+            false
         }
     }
 }
 
-/// Writes the status for the operators if the recorded step has changed it.
+/// Returns the status for the operators, with its order, if it is not the last one that was written.
+fn unpublished_status(
+    rollouts: &Rollouts,
+    service: &ServiceName,
+) -> Option<(RolloutStatus, Order)> {
+    let state = rollouts.state.lock();
+    let Some(Deciding::Active(active)) = state.deciding.get(service) else {
+        return None;
+    };
+    let status = RolloutStatus::from(active.recorded);
+    let is_new = active.published != Some(status);
+    is_new.then(|| (status, active.decider.order().clone()))
+}
+
+/// Writes the status for the operators if the recorded step has changed it. The end of the stream is
+/// read before the step, and the status is written only there: another decider may have recorded a
+/// later step and written its status.
 async fn publish_status(shared: &Shared, rollouts: &Rollouts, service: &ServiceName) {
-    let (status, order) = {
-        let state = rollouts.state.lock();
-        let Some(Deciding::Active(active)) = state.deciding.get(service) else {
-            return;
-        };
-        let status = RolloutStatus::from(active.recorded);
-        if active.published == Some(status) {
+    let Some((_, order)) = unpublished_status(rollouts, service) else {
+        return;
+    };
+    let end = match status_end(shared, rollouts).await {
+        Ok(end) => end,
+        Err(e) => {
+            warn!(event = "rollout_log_failed", service:% = service, error:% = e; "cannot read the status of the roll-out; trying again");
             return;
         }
-        (status, active.decider.order().clone())
+    };
+    if !reload(shared, rollouts, service, &order).await {
+        return;
+    }
+    let Some((status, order)) = unpublished_status(rollouts, service) else {
+        return;
     };
     let (key, value) = (rollouts.settings.encode_status)(&order, status);
-    let written = append_keyed(
-        shared,
-        &rollouts.settings.status_stream,
-        key.as_bytes(),
-        &value,
-    )
-    .await;
+    let stream = &rollouts.settings.status_stream;
+    let written = append_keyed(shared, stream, end, key.as_bytes(), &value).await;
     match written {
         Ok(()) => {
             info!(event = "rollout_status", service:% = service, target:% = order.target_version, status:? = status; "status of the roll-out written");
--- a/crates/proxy/src/step_log.rs
+++ b/crates/proxy/src/step_log.rs
@@ -84,17 +84,25 @@
     Ok(appended.next())
 }
 
-/// Appends a keyed record to a stream.
+/// Returns the end of the stream in which operators read the status.
+pub(crate) async fn status_end(shared: &Shared, rollouts: &Rollouts) -> Result<Offset, LogError> {
+    let log = &shared.settings.source.log;
+    let newest = within_limit(log.read_newest(&rollouts.settings.status_stream)).await?;
+    Ok(newest.end)
+}
+
+/// Appends a keyed record to a stream if that still ends at `end`.
 pub(crate) async fn append_keyed(
     shared: &Shared,
     stream: &str,
+    end: Offset,
     key: &[u8],
     value: &[u8],
 ) -> Result<(), LogError> {
     let data = encode_keyed(key, value).map_err(plat::no_response_error)?;
     shared.metrics.count(Metric::LogAppends);
     let log = &shared.settings.source.log;
-    within_limit(log.append(stream, vec![data])).await?;
+    within_limit(log.append_at(stream, end, vec![data])).await?;
     Ok(())
 }
 
