--- a/crates/admit/src/target_queue.rs
+++ b/crates/admit/src/target_queue.rs
@@ -3,8 +3,8 @@
 //! The queue is built for overload that lasts for seconds. Slots go first to requests that can
 //! still meet their latency objective: by priority, then short work before long, then by earliest
 //! objective. Among organisations, those within an equal share of the slots go before the excess of
-//! others of the same priority. Requests that will miss theirs, mostly retries after a refusal, get the remaining
-//! slots. A request that can't be served in time from its place in the queue is refused at once. A
+//! others of the same priority. Requests that will miss theirs, mostly retries after a refusal, get
+//! the remaining slots. A request that can't be served in time from its place in the queue is refused at once. A
 //! refused request has not reached the target.
 
 use std::collections::{BTreeMap, HashMap};
