Say which uploads the stand-in refuses

The comment in review/cases2.rs named another share than the code has: with the disruption, two fifths of the uploads are refused before their bodies are read. Only the comment changes.

--- a/review/cases2.rs
+++ b/review/cases2.rs
@@ -320,7 +320,7 @@
         route("r-upload", "/upload/", "upload", 2_000, 500, "evidence"),
         route("r-look", "/look/", "safe", 2_000, 500, "evidence"),
     ];
-    // Each second of the uploads is refused; with the disruption two fifths of all, before the body.
+    // With the disruption, two fifths of the uploads are refused before their bodies are read.
     let count = Arc::new(AtomicUsize::new(0));
     let answer: Decide = Arc::new(move |req| {
         let mut answer = Answer::new(20, 300);
