Keep to one retry budget while nodes shut down, restart and find each other

Cause: a node that shuts down sent again without a token, whether the request had been cut off or refused. All budgets started anew, with tokens, in each process and whenever the number of known nodes changed, and a started node took the slack of the whole mesh. On the other side, a node of a mesh of 79 or more could never hold a whole token.

Change: route::SharedBudgets. A process starts without tokens and has no part of the slack until it has read the registered nodes; a change of their number grants nothing. Every further attempt takes a token, and one that reached no target puts it back. Requests that were cut off come first: a leaving node waits for a token for them and may borrow one from a peer.

Four earlier tests relied on the tokens that a process started with. They wait until their nodes have earned one, or make some requests first; what they check is the same.

--- a/crates/ops/src/metrics.rs
+++ b/crates/ops/src/metrics.rs
@@ -63,6 +63,8 @@
     RefusedOutcomeUnknown = Counter "refused.unknown", "requests";
     /// Attempts beyond the first.
     Retries = Counter "attempt.retry", "attempts";
+    /// Attempts beyond the first that the retry budget forbade.
+    RetriesDenied = Counter "attempt.retry_denied", "attempts";
     /// Hedged attempts.
     Hedges = Counter "attempt.hedge", "attempts";
     /// Requests dispatched to the target.
--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -6,8 +6,8 @@
 
 use ops::Metric;
 use route::{
-    Candidate, RequestProfile, choose_instance, has_free_slot, max_wait_before_reroute, mean_load,
-    relative_service, time_to_free_slot,
+    Candidate, RepeatReason, RequestProfile, choose_instance, has_free_slot,
+    max_wait_before_reroute, mean_load, relative_service, time_to_free_slot,
 };
 use wire::{Code, Refusal, Time};
 
@@ -16,6 +16,7 @@
 use crate::message::{Answer, Failure, Outcome, Times};
 use crate::peers::PeerKey;
 use crate::remote;
+use crate::retries;
 use crate::shared::{Phase, Shared};
 
 /// Number of refusals by instances after which the caller is refused. When the two instances ranked
@@ -88,6 +89,8 @@
     sends: u32,
     /// Whether a target may have run the request.
     maybe_ran: bool,
+    /// Whether a token of the retry budget has been spent for an attempt that has reached no target.
+    holds_token: bool,
     /// Loads of the eligible instances at the last choice of an instance.
     loads: String,
     /// Queueing and target time of the last attempt.
@@ -144,7 +147,7 @@
                 continue;
             }
             let refusal = progress.refusal.unwrap_or(Code::NoInstance.into());
-            return progress.final_refusal(refusal, Some(time_to_slot));
+            return progress.refuse(shared, pending, refusal, time_to_slot);
         };
         let refusal_limit = max_refusals(&eligible);
         if let Some(refusal) = progress
@@ -154,7 +157,7 @@
             if progress.wait_for_room(shared, pending).await {
                 continue;
             }
-            return progress.final_refusal(refusal, Some(time_to_slot));
+            return progress.refuse(shared, pending, refusal, time_to_slot);
         }
         let is_last = eligible.len() == 1 || progress.refusals + 1 >= refusal_limit;
         let slot_terms = SlotTerms {
@@ -171,7 +174,9 @@
             ended.destination,
             ended.outcome,
             time_to_slot,
-        ) {
+        )
+        .await
+        {
             return final_outcome;
         }
     }
@@ -319,14 +324,12 @@
         .collect();
     let profile = request_profile(shared, pending, shared.now(), eligible);
     let hedge = choose_instance(&mut *shared.rng.lock(), &free, &profile)?;
-    shared
-        .try_spend_retry(shared.now(), &pending.call.service)
-        .then_some(hedge)
+    retries::try_spend(shared, &pending.call.service, RepeatReason::Optional).then_some(hedge)
 }
 
 /// Records an ended attempt. Returns the final outcome, or `None` if another attempt follows.
 /// `time_to_slot` is the estimated time until some instance has a free slot.
-fn decide_next(
+async fn decide_next(
     shared: &Shared,
     pending: &Pending,
     progress: &mut Progress,
@@ -334,6 +337,9 @@
     outcome: Outcome,
     time_to_slot: Duration,
 ) -> Option<FinalOutcome> {
+    if !matches!(outcome, Outcome::Refused(_)) {
+        progress.holds_token = false;
+    }
     match outcome {
         Outcome::Answer(answer) => {
             progress.sends += 1;
@@ -343,7 +349,11 @@
                 let mut averages = shared.route_averages.lock();
                 averages.record(&pending.route.name, answer.body.len(), service);
             }
-            if is_failure && pending.call.is_repeatable && progress.may_send_again(shared, pending)
+            if is_failure
+                && pending.call.is_repeatable
+                && progress
+                    .may_send_again(shared, pending, RepeatReason::Optional)
+                    .await
             {
                 progress.maybe_ran = true;
                 progress.excluded.push(destination);
@@ -361,7 +371,10 @@
         }
         Outcome::Shed => {
             progress.sends += 1;
-            if progress.may_send_again(shared, pending) {
+            if progress
+                .may_send_again(shared, pending, RepeatReason::Optional)
+                .await
+            {
                 progress.excluded.push(destination);
                 return None;
             }
@@ -370,7 +383,11 @@
         Outcome::Failed(f) => {
             progress.sends += 1;
             progress.maybe_ran = true;
-            if pending.call.is_repeatable && progress.may_send_again(shared, pending) {
+            if pending.call.is_repeatable
+                && progress
+                    .may_send_again(shared, pending, RepeatReason::CutOff)
+                    .await
+            {
                 // A reused connection that broke is no evidence against the target.
                 if f != Failure::ReusedConnection {
                     progress.excluded.push(destination);
@@ -384,18 +401,34 @@
 
 impl Progress {
     /// Returns whether the request may be sent once more; if so, a token of the retry budget is
-    /// spent. A node that shuts down needs none: it has few requests left, which must not be cut off
-    /// because hedges have spent the budget.
-    fn may_send_again(&self, shared: &Shared, pending: &Pending) -> bool {
+    /// spent. While this node shuts down, a request that was cut off waits for a token, because its
+    /// caller could not send it again here.
+    async fn may_send_again(
+        &mut self,
+        shared: &Shared,
+        pending: &Pending,
+        reason: RepeatReason,
+    ) -> bool {
         let now = shared.now();
-        let is_allowed = self.sends < pending.route.max_attempts
-            && now < pending.deadline
-            && (shared.phase() != Phase::Serving
-                || shared.try_spend_retry(now, &pending.call.service));
-        if is_allowed {
+        if self.sends >= pending.route.max_attempts || now >= pending.deadline {
+            return false;
+        }
+        let service = &pending.call.service;
+        let must_wait = reason == RepeatReason::CutOff
+            && shared.phase() != Phase::Serving
+            && self.answer.is_none();
+        self.holds_token = if must_wait {
+            retries::wait_for_token(shared, service).await;
+            true
+        } else {
+            retries::try_spend(shared, service, reason)
+        };
+        if self.holds_token {
             shared.metrics.count(Metric::Retries);
+        } else {
+            shared.metrics.count(Metric::RetriesDenied);
         }
-        is_allowed
+        self.holds_token
     }
 
     /// Waits until the instances may be asked again for a request that was cut off in a run while this
@@ -411,6 +444,21 @@
         true
     }
 
+    /// Ends the request since no further attempt is made, and puts back an unused token.
+    fn refuse(
+        &mut self,
+        shared: &Shared,
+        pending: &Pending,
+        refusal: Refusal,
+        time_to_slot: Duration,
+    ) -> FinalOutcome {
+        if self.holds_token {
+            let service = &pending.call.service;
+            shared.with_retry_budgets(shared.now(), |b| b.refund(service));
+        }
+        self.final_refusal(refusal, Some(time_to_slot))
+    }
+
     fn final_answer(&self, answer: Answer) -> FinalOutcome {
         FinalOutcome::Answer {
             answer,
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -254,7 +254,7 @@
         shared.metrics.count(Metric::QuarantineRefusals);
         return Err(Code::Quarantined.into());
     }
-    shared.count_request(now, &call.service);
+    shared.with_retry_budgets(now, |b| b.record_request(now, &call.service));
     Ok(Pending {
         route: route.clone(),
         arrived_at,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -39,6 +39,7 @@
 mod read_limit;
 mod readers;
 mod remote;
+mod retries;
 mod rollouts;
 mod settings;
 mod shared;
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -25,7 +25,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use usage::{Grant, UsageCount};
-use wire::{Code, Refusal};
+use wire::{Code, Refusal, ServiceName};
 
 use crate::beside::{self, Origin};
 use crate::deciding;
@@ -37,6 +37,7 @@
     StrikeNotice, VersionUpdate,
 };
 use crate::peers::PeerKey;
+use crate::retries;
 use crate::rollouts::{self, ReportReply};
 use crate::shared::{Phase, Shared, sleep_unless_stopped};
 use crate::source;
@@ -222,6 +223,10 @@
     async fn update_from(self, _: Context, base_version: u64) -> Option<VersionUpdate> {
         self.shared.versions.update_from(base_version)
     }
+
+    async fn lend_retry(self, _: Context, service: ServiceName) -> bool {
+        retries::lend(&self.shared, &service)
+    }
 }
 
 /// Accepts connections of other nodes until the node stops.
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -56,6 +56,9 @@
     /// Returns the update from version `base_version` to the newest one, or `None` if there is no
     /// newer one.
     async fn update_from(base_version: u64) -> Option<VersionUpdate>;
+    /// Takes a token of this node's part of the service's retry budget for a request of the calling
+    /// node; `false` if none is left.
+    async fn lend_retry(service: ServiceName) -> bool;
 }
 
 /// State that a node announces to its peers.
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -1,6 +1,5 @@
 //! State shared by the tasks of a node. Locks are held briefly, never across an await.
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
@@ -13,7 +12,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rollout::Admission;
-use route::{AttemptAges, Budget, BudgetCfg, Quarantine, QuarantineCfg, RouteAverages, Splitter};
+use route::{
+    AttemptAges, Quarantine, QuarantineCfg, RouteAverages, SharedBudgetCfg, SharedBudgets, Splitter,
+};
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::task::TaskTracker;
@@ -40,16 +41,6 @@
 /// for the process itself, its routing tables, what the kernel buffers, and copies in flight. On the
 /// smallest machines in use, of 160 MB, requests get 68 MB of it, enough for a body of the largest size.
 const ACCOUNT_PERCENT: usize = 57;
-/// Fraction of `Bounds::retry_ratio` that the nodes spend. A service that runs a retried request
-/// calls other services again, and those calls count as retries too. With this fraction, such calls
-/// and the retries of the services called stay below the whole ratio together.
-const RETRY_RATIO_FRACTION: f64 = 0.6;
-/// Fraction of `Bounds::retry_slack` that all nodes together may save up for a burst of retries.
-const RETRY_BURST_FRACTION: f64 = 0.4;
-/// Fraction of `Bounds::retry_slack` that all nodes together may spend per window on a service with
-/// few requests.
-const RETRY_FLOOR_FRACTION: f64 = 0.3;
-
 /// Lifecycle phase of a node; each phase follows the one before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -94,7 +85,9 @@
     pub(crate) splitter: Mutex<Splitter>,
     pub(crate) attempt_ages: Mutex<AttemptAges>,
     pub(crate) route_averages: Mutex<RouteAverages>,
-    budgets: Mutex<Budgets>,
+    retry_budgets: Mutex<SharedBudgets>,
+    /// See [`Shared::set_registered`].
+    is_registered: AtomicBool,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) metrics: Arc<Metrics>,
@@ -157,14 +150,6 @@
     }
 }
 
-/// This node's parts of the retry budgets.
-#[derive(Debug, Default)]
-struct Budgets {
-    by_service: HashMap<ServiceName, Budget>,
-    /// Number of nodes, including this one, for which the parts were computed.
-    node_count: usize,
-}
-
 impl Shared {
     pub(crate) fn new(
         settings: Settings,
@@ -191,7 +176,12 @@
             splitter: Mutex::default(),
             attempt_ages: Mutex::default(),
             route_averages: Mutex::default(),
-            budgets: Mutex::default(),
+            retry_budgets: Mutex::new(SharedBudgets::new(SharedBudgetCfg {
+                ratio: settings.bounds.retry_ratio,
+                window: settings.bounds.retry_window,
+                slack: settings.bounds.retry_slack,
+            })),
+            is_registered: AtomicBool::new(false),
             quarantine: Mutex::new(Quarantine::new(QuarantineCfg::default())),
             rng: Mutex::new(rng),
             metrics,
@@ -378,40 +368,26 @@
         self.status_changed.notify_one();
     }
 
-    /// Counts a request to a service for its retry budget.
-    pub(crate) fn count_request(&self, now: Time, service: &ServiceName) {
-        self.with_budget(service, |b| b.record_request(now));
-    }
-
-    /// Spends a token of a service's retry budget, for sending a request once more; returns `false`
-    /// if the budget has no token.
-    pub(crate) fn try_spend_retry(&self, now: Time, service: &ServiceName) -> bool {
-        self.with_budget(service, |b| b.try_spend(now))
+    /// Calls `f` with this node's parts of the retry budgets.
+    pub(crate) fn with_retry_budgets<T>(
+        &self,
+        now: Time,
+        f: impl FnOnce(&mut SharedBudgets) -> T,
+    ) -> T {
+        let is_registered = self.is_registered.load(Ordering::Relaxed);
+        let node_count = is_registered.then(|| self.peers.lock().len() + 1);
+        let mut budgets = self.retry_budgets.lock();
+        if let Some(node_count) = node_count {
+            budgets.record_nodes(now, node_count);
+        }
+        f(&mut budgets)
     }
 
-    /// Applies `f` to this node's part of a service's retry budget. The slack is that of the whole
-    /// mesh, so it is divided by the number of known nodes, including unreachable ones; when that
-    /// number changes, all budgets start anew.
-    fn with_budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut Budget) -> T) -> T {
-        let node_count = self.peers.lock().len() + 1;
-        let mut budgets = self.budgets.lock();
-        if budgets.node_count != node_count {
-            budgets.node_count = node_count;
-            budgets.by_service.clear();
-        }
-        let bounds = &self.settings.bounds;
-        let budget = budgets
-            .by_service
-            .entry(service.clone())
-            .or_insert_with(|| {
-                let slack = bounds.retry_slack / node_count as f64;
-                Budget::new(BudgetCfg {
-                    share: bounds.retry_ratio * RETRY_RATIO_FRACTION,
-                    floor_per_s: slack * RETRY_FLOOR_FRACTION / bounds.retry_window.as_secs_f64(),
-                    burst: slack * RETRY_BURST_FRACTION,
-                })
-            });
-        f(budget)
+    /// Records that this node has read the registered nodes from the log, so that it knows their
+    /// number.
+    pub(crate) fn set_registered(&self, now: Time) {
+        self.is_registered.store(true, Ordering::Relaxed);
+        self.with_retry_budgets(now, |_| ());
     }
 
     /// Returns whether a request is quarantined because it crashed targets.
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -99,6 +99,7 @@
             }
         }
     }
+    shared.set_registered(shared.now());
     Ok(())
 }
 
--- a/crates/proxy/tests/callers.rs
+++ b/crates/proxy/tests/callers.rs
@@ -280,6 +280,10 @@
     while received_requests(&ending).is_empty() || received_requests(&busy).is_empty() {
         call(entry.caller_addr, "GET", "/safe/first", "").await;
     }
+    // The requests of its callers fill the entry node's retry budget.
+    for _ in 0..20 {
+        call(entry.caller_addr, "GET", "/safe/first", "").await;
+    }
     let is_at = |target: &ScriptedTarget, path: &str| {
         let received = received_requests(target);
         received.iter().any(|r| r.path == path)
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -496,3 +496,29 @@
     caller.send(method, path, &id, body).await;
     caller.response().await.expect("a complete response")
 }
+
+/// Waits until one or two nodes have a token of their retry budget each. They start without any, and
+/// earn 1.8 tokens a second together.
+pub(crate) async fn earn_retries() {
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+}
+
+/// Starts a node for each of `targets`, instances of the service `desk`, and waits until all know each
+/// other and serve.
+pub(crate) async fn start_mesh(log: &FakeKeyedLog, targets: &[ScriptedTarget]) -> Vec<TestNode> {
+    let mut nodes = Vec::new();
+    for target in targets {
+        let mut node = TestNode::start(log, target.addr()).await;
+        node.serve().await;
+        nodes.push(node);
+    }
+    let all = format!("briarlug_member_live {}", targets.len());
+    for node in &nodes {
+        wait_until("all nodes are known", || {
+            let text = node.handle().metrics_text();
+            text.lines().any(|l| l.starts_with(&all))
+        })
+        .await;
+    }
+    nodes
+}
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -23,7 +23,7 @@
 /// A token bucket that requests fill, with a floor for times of low traffic.
 ///
 /// After each period, the floor adds what the requests of the period didn't, up to a balance of one
-/// floor. A busy service therefore gets its share and nothing more.
+/// floor, or of one token if that is more. A busy service therefore gets its share and nothing more.
 #[derive(Clone, Debug)]
 pub struct Budget {
     // Amounts are in units, `UNITS_PER_TOKEN` per token.
@@ -39,15 +39,38 @@
 impl Budget {
     /// Makes a budget with a balance of one period's floor.
     pub fn new(cfg: BudgetCfg) -> Budget {
-        let floor = to_units(cfg.floor_per_s);
-        Budget {
-            per_request: to_units(cfg.share),
-            floor,
-            burst: to_units(cfg.burst).max(floor),
-            balance: floor,
+        let mut budget = Budget::empty(cfg);
+        budget.balance = budget.floor;
+        budget
+    }
+
+    /// Makes a budget with what the floor has granted in `time`.
+    pub fn after(cfg: BudgetCfg, time: Duration) -> Budget {
+        let mut budget = Budget::empty(cfg);
+        let granted = to_units(cfg.floor_per_s * time.as_secs_f64());
+        budget.balance = granted.min(budget.floor_balance());
+        budget
+    }
+
+    fn empty(cfg: BudgetCfg) -> Budget {
+        let mut budget = Budget {
+            per_request: 0,
+            floor: 0,
+            burst: 0,
+            balance: 0,
             earned: 0,
             period_start: None,
-        }
+        };
+        budget.set_cfg(cfg);
+        budget
+    }
+
+    /// Changes the settings. The balance stays, up to the new burst.
+    pub fn set_cfg(&mut self, cfg: BudgetCfg) {
+        self.per_request = to_units(cfg.share);
+        self.floor = to_units(cfg.floor_per_s);
+        self.burst = to_units(cfg.burst).max(self.floor);
+        self.balance = self.balance.min(self.burst);
     }
 
     /// Records a request from a caller, which adds `BudgetCfg::share` of a token.
@@ -72,14 +95,21 @@
         self.balance = (self.balance + UNITS_PER_TOKEN).min(self.burst);
     }
 
+    /// Balance up to which the floor fills the budget: one token at least, or a low floor would never
+    /// allow an attempt.
+    fn floor_balance(&self) -> u64 {
+        self.floor.max(UNITS_PER_TOKEN).min(self.burst)
+    }
+
     fn advance(&mut self, now: Time) {
         let start = *self.period_start.get_or_insert(now);
         if now.since(start) < FLOOR_PERIOD {
             return;
         }
         let missing = self.floor.saturating_sub(self.earned);
-        if self.balance < self.floor {
-            self.balance = (self.balance + missing).min(self.floor);
+        let max = self.floor_balance();
+        if self.balance < max {
+            self.balance = (self.balance + missing).min(max);
         }
         self.earned = 0;
         self.period_start = Some(now);
