Let a free slot teach a route its service time

Cause: a route without a known service time was expected to take as long as the mean request of its target, and a request that would not end by its deadline is refused. Only a completed request teaches the route its own time. A route whose time had grown beyond its timeout in a slow spell was refused in the same way, and a target that reported a bad spell was not chosen again, so that its report never changed.

Change: such a route is expected to take at most half of what the caller gives the request. After 1 s without requests of a route, one is admitted on those terms, and its time replaces the mean. What an idle target reports decays, with a half-life of 2 s.

Tests: four of the queue and one of a node failed on (the new route: refused; after the slow spell: 0 probes in 10 s; idle target: still 399 ms and 1.0 failed; node: 503).

--- a/crates/admit/src/target_queue.rs
+++ b/crates/admit/src/target_queue.rs
@@ -35,6 +35,19 @@
 /// that the calling request has already done.
 const SHORT_FRACTION: f64 = 0.4;
 
+/// Time without a request of a route after which its service time is measured anew by one request, even
+/// if the known time would refuse it. A shorter one would spend more of a slow target's slots, and of
+/// its callers' time, on requests that are cut off at their deadline.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Fraction of the time that a caller gives a request within which a route without a known service time
+/// is expected to respond.
+const DECLARED_SERVICE_FRACTION: f64 = 0.5;
+/// Time without requests after which the reported service time and failure rate begin to decay.
+const IDLE_GRACE: Duration = Duration::from_secs(1);
+/// Half-life of that decay. A target that is no longer chosen for what it was then gets requests again,
+/// which show what it is now.
+const IDLE_HALF_LIFE: Duration = Duration::from_secs(2);
+
 new_key_type! {
     /// Identifies a request that waits for or holds a slot.
     pub struct JobKey;
@@ -115,6 +128,20 @@
 struct Running {
     job: Job,
     started: Time,
+    is_probe: bool,
+    /// Least weight of its outcome in the averages of the target: what they lost while it was idle.
+    sample_weight: f64,
+}
+
+/// What is known of the requests of one route.
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteHistory {
+    /// Moving average of service times in seconds; `None` before the first completed request.
+    mean_secs: Option<f64>,
+    /// Requests that hold a slot or wait.
+    present: u32,
+    /// When a request last got a place or left.
+    changed_at: Time,
 }
 
 /// Whether a request can still meet its latency objective.
@@ -142,10 +169,18 @@
     seq: u64,
 }
 
+/// A request with the decision on its probe: one request of a route that has had none for a while is
+/// admitted by what its caller gives it, whatever is known of the route.
+#[derive(Clone, Copy, Debug)]
+struct Offer {
+    job: Job,
+    is_probe: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 enum JobState {
     Running(Running),
-    Waiting(Rank, Job),
+    Waiting(Rank, Offer),
 }
 
 /// Slots and waiting requests of one target.
@@ -160,12 +195,13 @@
     present: HashMap<OrganisationId, u32>,
     /// Sequence number of the last offered request.
     last_seq: u64,
-    /// Moving average of service times by route, in seconds.
-    route_service: HashMap<RouteId, f64>,
+    routes: HashMap<RouteId, RouteHistory>,
     /// Moving average of all service times, in seconds.
     mean_service_secs: f64,
     /// Moving average of failures, 0 to 1.
     failure_rate: f64,
+    /// When a request last started or ended.
+    active_at: Time,
 }
 
 impl TargetQueue {
@@ -179,9 +215,10 @@
             running: 0,
             present: HashMap::new(),
             last_seq: 0,
-            route_service: HashMap::new(),
+            routes: HashMap::new(),
             mean_service_secs: INITIAL_SERVICE_TIME.as_secs_f64(),
             failure_rate: 0.0,
+            active_at: Time::ZERO,
         }
     }
 
@@ -192,7 +229,9 @@
 
     /// Discards measured service times and failures, after a restart of the target.
     pub fn restart(&mut self) {
-        self.route_service.clear();
+        for route in self.routes.values_mut() {
+            route.mean_secs = None;
+        }
         self.mean_service_secs = INITIAL_SERVICE_TIME.as_secs_f64();
         self.failure_rate = 0.0;
     }
@@ -206,12 +245,13 @@
     /// Requests a slot for `job`.
     pub fn offer(&mut self, now: Time, job: Job) -> JobVerdict {
         self.last_seq += 1;
-        match self.decide(now, &job, 0) {
+        let offer = self.offer_of(now, &job);
+        match self.decide(now, &offer, 0) {
             Err(refusal) => JobVerdict::Refuse(refusal),
-            Ok(None) => JobVerdict::Run(self.start(now, job)),
+            Ok(None) => JobVerdict::Run(self.start(now, offer)),
             Ok(Some(rank)) => {
-                self.add_present(&job);
-                let key = self.jobs.insert(JobState::Waiting(rank, job));
+                self.add_present(now, &job);
+                let key = self.jobs.insert(JobState::Waiting(rank, offer));
                 self.waiting.insert(rank, key);
                 JobVerdict::Wait(key)
             }
@@ -225,22 +265,24 @@
     ///
     /// Returns the refusal that [`TargetQueue::offer`] would return.
     pub fn check_offer(&self, now: Time, job: &Job, expected: usize) -> Result<(), Refusal> {
-        self.decide(now, job, expected).map(|_| ())
+        let offer = self.offer_of(now, job);
+        self.decide(now, &offer, expected).map(|_| ())
     }
 
     /// Decides on a request: returns its rank if it has to wait, `None` if it can start at once, or
     /// the refusal. `expected` is that of [`TargetQueue::check_offer`].
-    fn decide(&self, now: Time, job: &Job, expected: usize) -> Result<Option<Rank>, Refusal> {
+    fn decide(&self, now: Time, offer: &Offer, expected: usize) -> Result<Option<Rank>, Refusal> {
         if !self.is_open {
             return Err(Code::Draining.into());
         }
-        let mut rank = self.rank(now, job);
+        let job = &offer.job;
+        let mut rank = self.rank(now, offer);
         let occupied = self.running as usize + expected;
         // Expected requests take free slots first; the remaining ones wait.
         let expected_ahead = occupied.saturating_sub(self.slots as usize);
         let mut ahead = self.waiting.range(..rank).count() + expected_ahead;
         if occupied < self.slots as usize && ahead == 0 {
-            if !self.can_start(now, job) {
+            if !self.can_start(now, offer) {
                 return Err(Code::CannotStartInTime.into());
             }
             return Ok(None);
@@ -251,12 +293,12 @@
         if self.expected_wait(ahead) > job.max_wait {
             return Err(self.refusal(Code::CannotStartInTime));
         }
-        let misses_objective = !self.can_be_served_in_time(now, job, rank, ahead);
+        let misses_objective = !self.can_be_served_in_time(now, offer, rank, ahead);
         if rank.timeliness == Timeliness::OnTime && misses_objective && job.is_last_resort {
             rank.timeliness = Timeliness::Late;
             ahead = self.waiting.range(..rank).count() + expected_ahead;
         }
-        if !self.can_be_served_in_time(now, job, rank, ahead) {
+        if !self.can_be_served_in_time(now, offer, rank, ahead) {
             return Err(self.refusal(Code::CannotStartInTime));
         }
         Ok(Some(rank))
@@ -264,9 +306,10 @@
 
     /// Removes a request that holds a slot or waits. If it held a slot, learns from `outcome`.
     pub fn finish(&mut self, now: Time, key: JobKey, outcome: JobOutcome) {
-        match self.remove(key) {
+        match self.remove(now, key) {
             Some(JobState::Running(r)) => {
                 self.running -= 1;
+                self.active_at = now;
                 self.record_outcome(now, &r, outcome);
             }
             Some(JobState::Waiting(rank, _)) => {
@@ -280,7 +323,7 @@
     pub fn dispatch(&mut self, now: Time) -> Vec<JobEvent> {
         let mut events = Vec::new();
         if !self.is_open {
-            self.refuse_all(&mut events);
+            self.refuse_all(now, &mut events);
             return events;
         }
         while self.running < self.slots {
@@ -288,15 +331,14 @@
                 break;
             };
             self.waiting.remove(&rank);
-            let Some(JobState::Waiting(_, job)) = self.jobs.get(key).copied() else {
+            let Some(JobState::Waiting(_, offer)) = self.jobs.get(key).copied() else {
                 continue;
             };
-            if self.can_start(now, &job) {
-                self.running += 1;
-                self.jobs[key] = JobState::Running(Running { job, started: now });
+            if self.can_start(now, &offer) {
+                self.jobs[key] = self.running_state(now, offer);
                 events.push(JobEvent::Run(key));
             } else {
-                self.remove(key);
+                self.remove(now, key);
                 let refusal = self.refusal(Code::CannotStartInTime);
                 events.push(JobEvent::Refuse(key, refusal));
             }
@@ -314,7 +356,7 @@
                 slots: if self.is_open { self.slots } else { 0 },
             },
             service_time: self.current_service(now),
-            failure_rate: self.failure_rate as f32,
+            failure_rate: (self.failure_rate * self.idle_weight(now)) as f32,
         }
     }
 
@@ -332,27 +374,68 @@
         starts.min()
     }
 
-    /// Returns the time that must remain before the deadline when a request of a route starts.
-    pub fn time_needed(&self, route: RouteId) -> Duration {
-        self.expected_service(route).mul_f64(START_MARGIN_FACTOR)
+    /// Returns the time that must remain before the deadline when a request starts, if it is offered
+    /// now.
+    pub fn time_needed(&self, now: Time, job: &Job) -> Duration {
+        self.time_needed_by(&self.offer_of(now, job))
+    }
+
+    /// Returns the expected service time of a request that is offered now.
+    pub fn expected_service(&self, now: Time, job: &Job) -> Duration {
+        self.service_of(&self.offer_of(now, job))
+    }
+
+    fn offer_of(&self, now: Time, job: &Job) -> Offer {
+        let is_probe = self.routes.get(&job.route).is_some_and(|r| {
+            r.mean_secs.is_some() && r.present == 0 && now.since(r.changed_at) >= PROBE_INTERVAL
+        });
+        Offer {
+            job: *job,
+            is_probe,
+        }
+    }
+
+    /// Returns the expected service time of a request: the mean of its route. For a route without a
+    /// mean, that of the target, but at most a part of the time that the caller gives it: the requests
+    /// of other routes may be far longer, and only a request that runs shows how long it takes. The same
+    /// part limits the time for a probe.
+    fn service_of(&self, offer: &Offer) -> Duration {
+        let job = &offer.job;
+        let given = if job.objective > job.arrived {
+            job.objective.since(job.arrived)
+        } else {
+            job.deadline.since(job.arrived)
+        };
+        let declared = given.mul_f64(DECLARED_SERVICE_FRACTION);
+        let mean = self.routes.get(&job.route).and_then(|r| r.mean_secs);
+        match mean.map(Duration::from_secs_f64) {
+            Some(mean) if !offer.is_probe => mean,
+            Some(mean) => mean.min(declared),
+            None => Duration::from_secs_f64(self.mean_service_secs).min(declared),
+        }
     }
 
-    /// Returns the expected service time of a route: its average, or that of the target while the
-    /// route has none.
-    pub fn expected_service(&self, route: RouteId) -> Duration {
-        let s = self.route_service.get(&route).copied();
-        Duration::from_secs_f64(s.unwrap_or(self.mean_service_secs))
+    fn time_needed_by(&self, offer: &Offer) -> Duration {
+        self.service_of(offer).mul_f64(START_MARGIN_FACTOR)
     }
 
-    fn add_present(&mut self, job: &Job) {
+    fn add_present(&mut self, now: Time, job: &Job) {
+        let route = self.routes.entry(job.route).or_default();
+        route.present += 1;
+        route.changed_at = now;
         if let Some(organisation) = job.organisation {
             *self.present.entry(organisation).or_default() += 1;
         }
     }
 
-    fn remove(&mut self, key: JobKey) -> Option<JobState> {
+    fn remove(&mut self, now: Time, key: JobKey) -> Option<JobState> {
         let state = self.jobs.remove(key)?;
-        let (JobState::Running(Running { job, .. }) | JobState::Waiting(_, job)) = state;
+        let (JobState::Running(Running { job, .. }) | JobState::Waiting(_, Offer { job, .. })) =
+            state;
+        if let Some(route) = self.routes.get_mut(&job.route) {
+            route.present -= 1;
+            route.changed_at = now;
+        }
         if let Some(organisation) = job.organisation
             && let Some(present) = self.present.get_mut(&organisation)
         {
@@ -375,11 +458,23 @@
         present.saturating_mul(sharers) / self.slots
     }
 
-    fn start(&mut self, now: Time, job: Job) -> JobKey {
+    fn start(&mut self, now: Time, offer: Offer) -> JobKey {
+        self.add_present(now, &offer.job);
+        let state = self.running_state(now, offer);
+        self.jobs.insert(state)
+    }
+
+    /// Takes a slot, and returns the state of the request in it.
+    fn running_state(&mut self, now: Time, offer: Offer) -> JobState {
+        let sample_weight = 1.0 - self.idle_weight(now);
         self.running += 1;
-        self.add_present(&job);
-        self.jobs
-            .insert(JobState::Running(Running { job, started: now }))
+        self.active_at = now;
+        JobState::Running(Running {
+            job: offer.job,
+            started: now,
+            is_probe: offer.is_probe,
+            sample_weight,
+        })
     }
 
     /// Returns the expected wait of a request with `ahead` others before it in the queue.
@@ -389,10 +484,11 @@
     }
 
     /// Returns the rank that a request gets at `now`, as if it were the last one offered.
-    fn rank(&self, now: Time, job: &Job) -> Rank {
-        let service = self.expected_service(job.route);
+    fn rank(&self, now: Time, offer: &Offer) -> Rank {
+        let job = &offer.job;
+        let service = self.service_of(offer);
         let is_short = service.as_secs_f64() < SHORT_FRACTION * self.mean_service_secs;
-        let is_on_time = is_short || now + self.time_needed(job.route) <= job.objective;
+        let is_on_time = is_short || now + self.time_needed_by(offer) <= job.objective;
         Rank {
             timeliness: if is_on_time {
                 Timeliness::OnTime
@@ -408,9 +504,10 @@
     }
 
     /// Returns whether a request can be served in time from a place with `ahead` others before it.
-    fn can_be_served_in_time(&self, now: Time, job: &Job, rank: Rank, ahead: usize) -> bool {
+    fn can_be_served_in_time(&self, now: Time, offer: &Offer, rank: Rank, ahead: usize) -> bool {
+        let job = &offer.job;
         let wait = self.expected_wait(ahead);
-        let end = now + wait + self.expected_service(job.route);
+        let end = now + wait + self.service_of(offer);
         match rank.timeliness {
             Timeliness::OnTime => {
                 end <= job
@@ -434,14 +531,14 @@
     }
 
     /// Returns whether a request that starts now has enough time until its deadline.
-    fn can_start(&self, now: Time, job: &Job) -> bool {
-        now + self.time_needed(job.route) <= job.deadline
+    fn can_start(&self, now: Time, offer: &Offer) -> bool {
+        now + self.time_needed_by(offer) <= offer.job.deadline
     }
 
     /// Returns whether a waiting request should stay queued.
-    fn should_stay_queued(&self, now: Time, timeliness: Timeliness, job: &Job) -> bool {
-        let waited = now.since(job.arrived);
-        self.can_start(now, job) && (timeliness == Timeliness::OnTime || waited <= MAX_LATE_WAIT)
+    fn should_stay_queued(&self, now: Time, timeliness: Timeliness, offer: &Offer) -> bool {
+        let waited = now.since(offer.job.arrived);
+        self.can_start(now, offer) && (timeliness == Timeliness::OnTime || waited <= MAX_LATE_WAIT)
     }
 
     /// Returns the next request to serve: the first in the queue that has not become late while it
@@ -452,7 +549,7 @@
             .waiting
             .iter()
             .find(|(rank, key)| match self.jobs[**key] {
-                JobState::Waiting(_, job) => self.rank(now, &job).timeliness <= rank.timeliness,
+                JobState::Waiting(_, offer) => self.rank(now, &offer).timeliness <= rank.timeliness,
                 JobState::Running(_) => false,
             });
         still_on_time
@@ -460,9 +557,9 @@
             .map(|(rank, key)| (*rank, *key))
     }
 
-    fn refuse_all(&mut self, events: &mut Vec<JobEvent>) {
+    fn refuse_all(&mut self, now: Time, events: &mut Vec<JobEvent>) {
         while let Some((_, key)) = self.waiting.pop_first() {
-            self.remove(key);
+            self.remove(now, key);
             events.push(JobEvent::Refuse(key, Code::Draining.into()));
         }
     }
@@ -473,14 +570,16 @@
             .waiting
             .iter()
             .filter(|(_, key)| match &self.jobs[**key] {
-                JobState::Waiting(rank, job) => !self.should_stay_queued(now, rank.timeliness, job),
+                JobState::Waiting(rank, offer) => {
+                    !self.should_stay_queued(now, rank.timeliness, offer)
+                }
                 JobState::Running(_) => false,
             })
             .map(|(rank, key)| (*rank, *key))
             .collect();
         for (rank, key) in unservable {
             self.waiting.remove(&rank);
-            self.remove(key);
+            self.remove(now, key);
             let refusal = self.refusal(Code::CannotStartInTime);
             events.push(JobEvent::Refuse(key, refusal));
         }
@@ -501,21 +600,30 @@
             JobOutcome::Failed => 1.0,
             JobOutcome::Unmeasured => return,
         };
-        self.failure_rate += FAILURE_RATE_WEIGHT * (failed - self.failure_rate);
+        self.mean_service_secs -= self.excess_service_secs() * r.sample_weight;
+        let weight = FAILURE_RATE_WEIGHT.max(r.sample_weight);
+        self.failure_rate += weight * (failed - self.failure_rate);
         // Fast failures must not lower the measured service time.
         if outcome == JobOutcome::Failed {
             return;
         }
         let took = now.since(r.started).as_secs_f64();
-        let route = self.route_service.entry(r.job.route).or_insert(took);
-        *route += SERVICE_TIME_WEIGHT * (took - *route);
-        self.mean_service_secs += SERVICE_TIME_WEIGHT * (took - self.mean_service_secs);
+        let route = self.routes.entry(r.job.route).or_default();
+        route.mean_secs = Some(match route.mean_secs {
+            // A probe shows that the earlier requests tell nothing any more.
+            Some(mean) if !r.is_probe => mean + SERVICE_TIME_WEIGHT * (took - mean),
+            Some(_) | None => took,
+        });
+        let weight = SERVICE_TIME_WEIGHT.max(r.sample_weight);
+        self.mean_service_secs += weight * (took - self.mean_service_secs);
     }
 
     /// Returns the mean service time, or the mean age of the running requests if that is more: the
-    /// age is the first sign of a target that has become slow.
+    /// age is the first sign of a target that has become slow. While the target is idle, the mean decays
+    /// towards the initial one.
     fn current_service(&self, now: Time) -> Duration {
-        let mean = Duration::from_secs_f64(self.mean_service_secs);
+        let lost = self.excess_service_secs() * (1.0 - self.idle_weight(now));
+        let mean = Duration::from_secs_f64(self.mean_service_secs - lost);
         let ages = self.jobs.values().filter_map(|p| match p {
             JobState::Running(r) => Some(now.since(r.started)),
             JobState::Waiting(..) => None,
@@ -523,4 +631,19 @@
         let sum: Duration = ages.sum();
         mean.max(sum / self.running.max(1))
     }
+
+    /// Returns the part of the mean service time that decays while the target is idle, in seconds.
+    fn excess_service_secs(&self) -> f64 {
+        (self.mean_service_secs - INITIAL_SERVICE_TIME.as_secs_f64()).max(0.0)
+    }
+
+    /// Returns the weight of what earlier requests showed: 1 while requests run, and less the longer
+    /// none has.
+    fn idle_weight(&self, now: Time) -> f64 {
+        let idle = now.since(self.active_at).saturating_sub(IDLE_GRACE);
+        if self.running > 0 || idle.is_zero() {
+            return 1.0;
+        }
+        (-idle.as_secs_f64() / IDLE_HALF_LIFE.as_secs_f64()).exp2()
+    }
 }
--- a/crates/admit/tests/target_queue.rs
+++ b/crates/admit/tests/target_queue.rs
@@ -374,3 +374,106 @@
     assert_eq!(transit_time(70_000, 70_000, 7), alone * 2);
     assert!(transit_time(0, 70_000, 1_000) < ms(1));
 }
+
+/// A request of `route` at `now` whose caller wants the response within `objective_ms`, and waits for
+/// three times that.
+fn job_of(route: u64, now: Time, objective_ms: u64) -> Job {
+    Job {
+        route,
+        arrived: now,
+        objective: now + ms(objective_ms),
+        deadline: now + ms(3 * objective_ms),
+        ..job(1, 0, 0)
+    }
+}
+
+/// Runs requests of `ROUTE` one after the other, each for 400 ms; returns when the last has ended.
+fn run_long_requests(q: &mut TargetQueue, from: u64) -> u64 {
+    let mut t = from;
+    for _ in 0..100 {
+        let key = run(q, at(t), job_of(ROUTE, at(t), 1_200));
+        t += 400;
+        q.finish(at(t), key, JobOutcome::Completed);
+    }
+    t
+}
+
+/// Guards against a route that is never served because its first request is expected to take as long
+/// as the requests of other routes, so that none ever shows how short they are.
+#[test]
+fn a_new_route_beside_long_requests_is_served() {
+    let mut q = TargetQueue::new(4);
+    let mut t = run_long_requests(&mut q, 1_000);
+    // The target is busy with long requests, and has a free slot.
+    for _ in 0..3 {
+        run(&mut q, at(t), job_of(ROUTE, at(t), 1_200));
+    }
+    for _ in 0..20 {
+        let key = run(&mut q, at(t), job_of(2, at(t), 120));
+        t += 30;
+        q.finish(at(t), key, JobOutcome::Completed);
+    }
+}
+
+/// Guards against a route that is refused for good once its requests have taken longer than their
+/// callers wait, with slots free, and against many requests that are cut off to learn that.
+#[test]
+fn a_route_is_served_again_after_a_slow_spell() {
+    let mut q = TargetQueue::new(4);
+    // One request ends after its deadline.
+    let key = run(&mut q, at(0), job_of(2, at(0), 120));
+    q.finish(at(2_000), key, JobOutcome::Completed);
+    // The target stays slow for 10 s, then takes 30 ms.
+    let (mut probes, mut served) = (0, 0);
+    for t in (2_000..20_000).step_by(20) {
+        let now = at(t);
+        if let JobVerdict::Run(key) = q.offer(now, job_of(2, now, 120)) {
+            if t < 12_000 {
+                probes += 1;
+                q.finish(now + ms(360), key, JobOutcome::Failed);
+            } else {
+                served += 1;
+                q.finish(now + ms(15), key, JobOutcome::Completed);
+            }
+        }
+    }
+    assert!((5..=10).contains(&probes), "{probes} probes in 10 s");
+    assert!(served >= 340, "{served} of 400 served afterwards");
+}
+
+/// Guards against several requests at a time that probe a slow route.
+#[test]
+fn a_slow_route_gets_one_probe_at_a_time() {
+    let mut q = TargetQueue::new(4);
+    let key = run(&mut q, at(0), job_of(2, at(0), 120));
+    q.finish(at(2_000), key, JobOutcome::Completed);
+    run(&mut q, at(5_000), job_of(2, at(5_000), 120));
+    for t in [5_000, 5_100, 6_500] {
+        let verdict = q.offer(at(t), job_of(2, at(t), 120));
+        assert!(matches!(verdict, JobVerdict::Refuse(_)), "{verdict:?}");
+    }
+}
+
+/// Guards against a target that no node chooses any more for what it was, so that it never shows that
+/// it has recovered.
+#[test]
+fn an_idle_target_reports_less_and_less_of_a_bad_spell() {
+    let mut q = TargetQueue::new(4);
+    let mut t = run_long_requests(&mut q, 1_000);
+    for _ in 0..100 {
+        let key = run(&mut q, at(t), job_of(ROUTE, at(t), 1_200));
+        q.finish(at(t + 1), key, JobOutcome::Failed);
+        t += 1;
+    }
+    let bad = q.state(at(t));
+    assert!(bad.service_time >= ms(390) && bad.failure_rate > 0.9);
+    let later = q.state(at(t + 15_000));
+    assert!(later.service_time <= ms(60), "{later:?}");
+    assert!(later.failure_rate < 0.05, "{later:?}");
+    // One outcome counts for what was forgotten.
+    let now = t + 15_000;
+    let key = run(&mut q, at(now), job_of(ROUTE, at(now), 1_200));
+    q.finish(at(now + 30), key, JobOutcome::Completed);
+    let recovered = q.state(at(now + 30));
+    assert!(recovered.service_time <= ms(60) && recovered.failure_rate < 0.05);
+}
--- a/crates/proxy/src/beside.rs
+++ b/crates/proxy/src/beside.rs
@@ -111,7 +111,7 @@
     };
     let (key, start_signal, time_needed) = {
         let mut target = shared.target.lock();
-        let time_needed = target.queue.time_needed(call.route);
+        let time_needed = target.queue.time_needed(now, &job);
         match target.queue.offer(now, job) {
             JobVerdict::Run(key) => (key, None, time_needed),
             JobVerdict::Wait(key) => {
@@ -152,7 +152,7 @@
 /// Returns the job with the time that its response needs on the link taken off, and the expected size
 /// of the response.
 fn job_before_transfer(shared: &Shared, now: Time, job: Job) -> Result<(Job, usize), Refusal> {
-    let service = shared.target.lock().queue.expected_service(job.route);
+    let service = shared.target.lock().queue.expected_service(now, &job);
     let staged = shared.outbox.bytes();
     let link = shared.link_load.lock();
     let bytes = link.expected(job.route);
--- a/crates/proxy/tests/targets.rs
+++ b/crates/proxy/tests/targets.rs
@@ -427,3 +427,37 @@
         assert!(all.filter(|r| r.path == path).count() <= 1, "{path}");
     }
 }
+
+/// Guards against a route that gets no request served, with slots free, because the requests of another
+/// route of its service take longer than its timeout.
+#[tokio::test]
+async fn a_short_route_beside_a_long_one_is_served() {
+    let (node, target) = start_node(script(|req| {
+        let work = if req.path.starts_with("/safe") {
+            400
+        } else {
+            10
+        };
+        vec![
+            Step::Wait(Duration::from_millis(work)),
+            Step::Send(ok_response(req, &req.path)),
+        ]
+    }))
+    .await;
+    for round in 0..10 {
+        let mut callers = tokio::task::JoinSet::new();
+        for i in 0..3 {
+            let addr = node.caller_addr;
+            callers
+                .spawn(async move { call(addr, "GET", &format!("/safe/{round}-{i}"), "").await });
+        }
+        for response in callers.join_all().await {
+            assert_eq!(response.status, 200, "{response:?}");
+        }
+    }
+    for i in 0..5 {
+        let response = call(node.caller_addr, "GET", &format!("/short/{i}"), "").await;
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    assert_eq!(received_requests(&target).len(), 35);
+}
