Use no connection again whose target may not have read the body

Cause: a connection counted as idle once the answer was complete, although a target may refuse an upload before it has read it, and read on later. The next request waited in the socket behind that body, where it can't be cancelled.

Ruled out: the sender can't see what the target has read, since the kernel acknowledges what its buffer holds.

Change: after a request with a body, only a success lets the connection be used again.

Test: a_connection_with_an_unread_body_carries_no_other_request failed before: all five requests on one connection.

--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -168,6 +168,7 @@
         reuse: Reuse,
     ) -> Result<ReceivedResponse, SendError> {
         let mut req = req;
+        let has_body = !req.body().is_end_stream();
         while let Some((mut conn, idle)) = self.take_idle(shared.now(), reuse) {
             // Lets the driver notice a close or unsolicited bytes.
             if conn.sender.ready().await.is_err() {
@@ -178,7 +179,9 @@
                 Ok(res) => {
                     let mut response = receive(shared, &conn, res).await?;
                     response.is_first = false;
-                    self.put_idle(shared.now(), conn, &response.headers);
+                    if !has_body || proves_body_read(shared, &response) {
+                        self.put_idle(shared.now(), conn, &response.headers);
+                    }
                     return Ok(response);
                 }
                 Err(mut e) => match e.take_message() {
@@ -196,7 +199,8 @@
             return Err(SendError::Broken);
         };
         let response = receive(shared, &conn, res).await?;
-        if reuse != Reuse::Never {
+        let is_idle = !has_body || proves_body_read(shared, &response);
+        if reuse != Reuse::Never && is_idle {
             self.put_idle(shared.now(), conn, &response.headers);
         }
         Ok(response)
@@ -289,6 +293,14 @@
     }
 }
 
+/// Returns whether a response shows that the target has read the whole body of its request. A target may
+/// refuse a request before that, keep the connection, and read on later: until then, the next request
+/// would wait behind the body, and could not be cancelled. Only a success needs the body.
+fn proves_body_read(shared: &Shared, response: &ReceivedResponse) -> bool {
+    let not_run = &shared.settings.header_names.not_run;
+    response.status.is_success() && !response.headers.contains_key(not_run)
+}
+
 /// Reads the response to the first request on a connection.
 async fn receive(
     shared: &Shared,
--- a/crates/proxy/tests/targets.rs
+++ b/crates/proxy/tests/targets.rs
@@ -461,3 +461,37 @@
     }
     assert_eq!(received_requests(&target).len(), 35);
 }
+
+/// Guards against requests that wait at a target behind a body which it has refused and not read yet,
+/// so that they reach it after their callers have left; and against a new connection for each upload.
+#[tokio::test]
+async fn a_connection_with_an_unread_body_carries_no_other_request() {
+    let refuses_early = script(|req| {
+        if req.path == "/once/refused" {
+            let mut steps = refuse_as_not_run(req);
+            steps.push(Step::Wait(Duration::from_secs(1)));
+            return steps;
+        }
+        vec![Step::Send(ok_response(req, &req.path))]
+    });
+    let target = ScriptedTarget::start(true, refuses_early).await.unwrap();
+    let mut node = TestNode::start(&log_with(1), target.addr()).await;
+    node.serve().await;
+    for body in ["x".to_owned(), "b".repeat(100_000)] {
+        let seen = received_requests(&target).len();
+        for (method, path) in [("POST", "/once/1"), ("POST", "/once/2"), ("GET", "/safe/1")] {
+            let response = call(node.caller_addr, method, path, &body).await;
+            assert_eq!(response.status, 200, "{path}: {response:?}");
+        }
+        let refused = call(node.caller_addr, "POST", "/once/refused", &body).await;
+        assert!(matches!(refused.status, 429 | 503), "{refused:?}");
+        let response = call(node.caller_addr, "GET", "/safe/2", "").await;
+        assert_eq!(response.status, 200, "{response:?}");
+        let connections: Vec<_> = received_requests(&target)[seen..]
+            .iter()
+            .map(|r| r.connection)
+            .collect();
+        let kept = connections[0];
+        assert_eq!(connections, [kept, kept, kept, kept, kept + 1]);
+    }
+}
