Bound the answers of the log, and count those of the store in the memory account

What an operator would see: a store, or what answers at its address, that sends bytes without end makes every node run out of memory, and with it go the requests of all its callers.

Cause: the bodies of the log's answers were collected whole, without a limit, until the time limit of the call; at the speed of a link that is several hundred MB.

Those of the store count in the node's account as they arrive. They may exceed its limit: a node that can't read versions while callers hold its memory would be worse off, and few such calls run at once.

Endless heads and trailers were cut off before; endless interim responses end with the time limit of the call, and keep a thread busy until then, which is not mended here.

--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use memory::Charge;
 use reqwest::{Response, StatusCode, Url};
+use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 use wire::Offset;
 
@@ -26,6 +28,9 @@
 /// Margin for the network and the log, added to the wait of a long poll to give its time limit.
 pub const LONG_POLL_MARGIN: Duration = Duration::from_secs(2);
 
+/// Largest answer of a log. Its newest records may have a configuration text in several versions.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
 /// Client of a log that offers `POST /streams/{name}` and `GET /streams/{name}`.
 #[derive(Clone, Debug)]
 pub struct HttpLog {
@@ -81,7 +86,7 @@
     ) -> Result<Offset, LogError> {
         let req = self.client.post(self.url(stream)).timeout(APPEND_TIMEOUT);
         let res = append_response(req.json(&Append::from(records)).send().await)?;
-        let appended: Appended = check_status(res)?.json().await.map_err(no_response_error)?;
+        let appended: Appended = read_json(check_status(res)?).await?;
         Ok(Offset(appended.first))
     }
 
@@ -96,13 +101,13 @@
         let req = self.client.get(url).timeout(wait + LONG_POLL_MARGIN);
         let res = req.send().await.map_err(no_response_error)?;
         if res.status() == StatusCode::GONE {
-            let page: Page = res.json().await.map_err(no_response_error)?;
+            let page: Page = read_json(res).await?;
             return Err(LogError::Expired {
                 from,
                 oldest: Offset(page.oldest),
             });
         }
-        let page: Page = check_status(res)?.json().await.map_err(no_response_error)?;
+        let page: Page = read_json(check_status(res)?).await?;
         page.try_into().map_err(no_response_error)
     }
 }
@@ -146,6 +151,38 @@
         .context(ClientSnafu)
 }
 
+async fn read_json<T: DeserializeOwned>(res: Response) -> Result<T, LogError> {
+    let body = read_body(res, MAX_ANSWER_BYTES, None).await?;
+    serde_json::from_slice(&body).map_err(no_response_error)
+}
+
+/// Reads the body of a response of up to `max_bytes`, and charges it to `charge` as it arrives, in place
+/// of what was charged before.
+///
+/// # Errors
+///
+/// Fails when the body is longer, or when the connection breaks.
+pub async fn read_body(
+    res: Response,
+    max_bytes: usize,
+    charge: Option<&mut Charge>,
+) -> Result<Vec<u8>, LogError> {
+    let (mut res, mut charge) = (res, charge);
+    let mut body = Vec::new();
+    while let Some(part) = res.chunk().await.map_err(no_response_error)? {
+        if body.len() + part.len() > max_bytes {
+            return Err(no_response_error(format!(
+                "the answer is longer than {max_bytes} bytes"
+            )));
+        }
+        body.extend_from_slice(&part);
+        if let Some(charge) = &mut charge {
+            charge.set(body.capacity());
+        }
+    }
+    Ok(body)
+}
+
 /// Classifies the transport error of an append that got no response.
 ///
 /// # Errors
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use http::{
     APPEND_TIMEOUT, ClientError, HttpLog, LONG_POLL_MARGIN, append_response, check_status,
-    http_client, no_response_error, parse_base,
+    http_client, no_response_error, parse_base, read_body,
 };
 pub use keyed::{
     KeyedError, KeyedLog, KeyedRecord, MAX_KEY_BYTES, NewestRecords, decode_keyed, encode_keyed,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -55,6 +55,8 @@
 pub use http1::{ReadAhead, ReadAheadError};
 pub use names::HeaderNames;
 pub use node::{Handle, Node, StartError};
-pub use settings::{Bounds, LogSource, RolloutSettings, RolloutStatus, Settings, TargetSettings};
+pub use settings::{
+    Bounds, LogSource, RolloutSettings, RolloutStatus, Settings, TargetSettings, open_account,
+};
 pub use state::{EvidenceState, NodeState, OrganisationState, RolloutState};
 pub use versions::{DecodeVersion, VersionError};
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http1::ReadAhead;
+use memory::Account;
 use plat::KeyedLog;
 use rollout::{ExposureCfg, Order, RawOrder, Step};
 use wire::{Domain, ServiceName};
@@ -12,6 +13,11 @@
 use crate::names::HeaderNames;
 use crate::versions::DecodeVersion;
 
+/// Part of the process's memory, in percent, that is held for others. The rest is for the process itself,
+/// its routing tables, what the kernel buffers, and copies in flight. On the smallest machines in use, of
+/// 160 MB, requests get 68 MB of it, enough for a body of the largest size.
+const ACCOUNT_PERCENT: usize = 57;
+
 /// Settings of a node. Only `target` can change while the node runs.
 #[derive(Debug)]
 pub struct Settings {
@@ -36,6 +42,13 @@
     pub source: LogSource,
     /// Roll-outs of a service's version; `None` for deployments whose operators order none.
     pub rollouts: Option<RolloutSettings>,
+    /// Memory that is held for callers, the target, peers and the log; see [`open_account`].
+    pub memory: Arc<Account>,
+}
+
+/// Opens the account of the memory that a node of `memory_bytes` holds for others.
+pub fn open_account(memory_bytes: usize) -> Arc<Account> {
+    Account::new(memory_bytes / 100 * ACCOUNT_PERCENT)
 }
 
 /// Settings of the node's target.
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -37,10 +37,6 @@
 
 /// Slots assumed until the target has reported its own number.
 const INITIAL_SLOTS: u32 = 1;
-/// Part of the process's memory, in percent, that is held for callers, targets and peers. The rest is
-/// for the process itself, its routing tables, what the kernel buffers, and copies in flight. On the
-/// smallest machines in use, of 160 MB, requests get 68 MB of it, enough for a body of the largest size.
-const ACCOUNT_PERCENT: usize = 57;
 /// Lifecycle phase of a node; each phase follows the one before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -115,7 +111,7 @@
     pub(crate) tasks: TaskTracker,
     /// Sequence number of the last status.
     sequence: AtomicU64,
-    /// Memory that is held for callers, the target and peers.
+    /// Memory that is held for callers, the target, peers and the log.
     pub(crate) memory: Arc<Account>,
     /// The connections of callers.
     pub(crate) connections: Arc<Connections>,
@@ -158,7 +154,6 @@
     ) -> Arc<Shared> {
         let mut rng = SmallRng::from_rng(&mut rand::rng());
         let boot_id = rng.next_u64();
-        let memory = Account::new(settings.bounds.memory_bytes / 100 * ACCOUNT_PERCENT);
         Arc::new(Shared {
             clock: Clock,
             boot_id,
@@ -198,7 +193,7 @@
             target_losses: watch::Sender::new(0),
             tasks: TaskTracker::new(),
             sequence: AtomicU64::new(0),
-            memory,
+            memory: settings.memory.clone(),
             connections: Connections::new(settings.bounds.max_callers),
             outbox: Outbox::default(),
             link_load: Mutex::default(),
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -174,6 +174,7 @@
             node_stream: NODE_STREAM.into(),
         },
         rollouts: None,
+        memory: proxy::open_account(memory_bytes),
     }
 }
 
