Charge incomplete frames of peers and heads of targets as they arrive

What an operator would see: a process at a peer's address, or one that connects to the inner port, announces large frames on many connections and never completes them, and the node runs out of memory.

Cause: a frame was allocated when its length had arrived, and counted nowhere until it was complete. Heads of targets, up to 128 KB on each connection, did not count either.

Change: the bytes of an incomplete frame are charged before more of it is read. Without room for 0.5 s the connection ends, and stalled ones are closed like those of callers. On connections that the node opens, frames may have 256 KB until hello is answered. Heads count as they come.

--- a/crates/proxy/src/beside.rs
+++ b/crates/proxy/src/beside.rs
@@ -378,7 +378,9 @@
 async fn failed_outcome(shared: &Arc<Shared>, slot: &Slot, e: SendError) -> Outcome {
     let is_alive = match e {
         SendError::Connect => false,
-        SendError::ReusedConnection | SendError::Broken => shared.upstream.is_accepting().await,
+        SendError::ReusedConnection | SendError::Broken => {
+            shared.upstream.is_accepting(shared).await
+        }
     };
     if !is_alive {
         mark_target_down(shared);
--- a/crates/proxy/src/connections.rs
+++ b/crates/proxy/src/connections.rs
@@ -27,7 +27,7 @@
     struct ConnKey;
 }
 
-/// All connections that others have opened.
+/// All connections of callers and peers.
 #[derive(Debug)]
 pub(crate) struct Connections {
     state: Mutex<State>,
@@ -117,6 +117,11 @@
         self.add(now, true)
     }
 
+    /// Adds a connection of a peer, or to one.
+    pub(crate) fn add_peer(self: &Arc<Connections>, now: Time) -> Registration {
+        self.add(now, false)
+    }
+
     fn add(self: &Arc<Connections>, now: Time, is_caller: bool) -> Registration {
         let (bodies, evict) = (Tally::default(), Arc::new(Notify::new()));
         let key = self.state.lock().conns.insert(Conn {
--- a/crates/proxy/src/health.rs
+++ b/crates/proxy/src/health.rs
@@ -82,7 +82,7 @@
             continue;
         }
         shared.target.lock().last_response_at = now;
-        if !shared.upstream.is_accepting().await {
+        if !shared.upstream.is_accepting(&shared).await {
             beside::mark_target_down(&shared);
             shared.target_losses.send_modify(|n| *n += 1);
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -25,6 +25,7 @@
 mod deciding;
 mod departures;
 mod entry;
+mod frames;
 mod freshness;
 mod health;
 mod latency;
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -7,6 +7,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,6 +31,7 @@
 use crate::beside::{self, Origin};
 use crate::deciding;
 use crate::departures;
+use crate::frames::FrameStream;
 use crate::freshness;
 use crate::listen::accept_until;
 use crate::message::{
@@ -243,7 +245,9 @@
         log::warn!(event = "link_setup_failed", error:% = e; "cannot set the socket options of a peer's connection; closing it");
         return;
     }
-    let transport = serde_transport::new(codec().new_framed(tcp), Bincode::default());
+    let registration = Arc::new(shared.connections.add_peer(shared.now()));
+    let stream = FrameStream::accepted(shared.clone(), tcp, registration.clone());
+    let transport = serde_transport::new(codec().new_framed(stream), Bincode::default());
     let config = tarpc::server::Config {
         pending_response_buffer: MAX_IN_FLIGHT_CALLS,
     };
@@ -271,6 +275,7 @@
                 None => break,
             },
             Some(_) = calls.join_next() => {}
+            () = registration.evicted() => break,
         }
     }
     // The node that made these calls has disconnected, so no caller waits for the replies.
@@ -328,7 +333,15 @@
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(link)).await;
     let tcp = connected.ok()?.ok()?;
     set_socket_options(&tcp).ok()?;
-    let transport = serde_transport::new(codec().new_framed(tcp), Bincode::default());
+    let registration = Arc::new(shared.connections.add_peer(shared.now()));
+    let is_introduced = Arc::new(AtomicBool::new(false));
+    let stream = FrameStream::dialled(
+        shared.clone(),
+        tcp,
+        registration.clone(),
+        is_introduced.clone(),
+    );
+    let transport = serde_transport::new(codec().new_framed(stream), Bincode::default());
     let mut config = client::Config::default();
     config.max_in_flight_requests = MAX_IN_FLIGHT_CALLS;
     config.pending_request_buffer = MAX_IN_FLIGHT_CALLS;
@@ -336,13 +349,17 @@
     let mut driver = JoinSet::new();
     driver.spawn(async move {
         // If the connection fails, each call on it returns an error.
-        let _ = dispatch.await;
+        tokio::select! {
+            _ = dispatch => {}
+            () = registration.evicted() => {}
+        }
     });
     let hello = client.hello(context(STATUS_TIMEOUT), shared.status(shared.now()));
     let reply = tokio::time::timeout(STATUS_TIMEOUT, hello)
         .await
         .ok()?
         .ok()?;
+    is_introduced.store(true, Ordering::Relaxed);
     departures::apply(shared, &reply.your_departed);
     let version = reply.status.version;
     shared
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -174,7 +174,7 @@
             if conn.sender.ready().await.is_err() {
                 continue;
             }
-            conn.allowance.set(MAX_BYTES_BEFORE_BODY);
+            conn.allowance.limit(MAX_BYTES_BEFORE_BODY);
             match conn.sender.try_send_request(req).await {
                 Ok(res) => {
                     let mut response = receive(shared, &conn, res).await?;
@@ -194,7 +194,7 @@
                 },
             }
         }
-        let mut conn = self.connect().await?;
+        let mut conn = self.connect(shared).await?;
         let Ok(res) = conn.sender.try_send_request(req).await else {
             return Err(SendError::Broken);
         };
@@ -207,8 +207,8 @@
     }
 
     /// Returns whether the target accepts a new connection.
-    pub(crate) async fn is_accepting(&self) -> bool {
-        self.connect().await.is_ok()
+    pub(crate) async fn is_accepting(&self, shared: &Shared) -> bool {
+        self.connect(shared).await.is_ok()
     }
 
     /// Starts a suspicion period: a reused connection, idle for `idle`, broke under a request.
@@ -242,7 +242,7 @@
         None
     }
 
-    async fn connect(&self) -> Result<Connection, SendError> {
+    async fn connect(&self, shared: &Shared) -> Result<Connection, SendError> {
         let addr = self.addr();
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
         let Ok(Ok(tcp)) = connected else {
@@ -254,7 +254,11 @@
             return Err(SendError::Connect);
         }
         let allowance = ReadAllowance::new(MAX_BYTES_BEFORE_BODY);
-        let io = TokioIo::new(LimitedStream::new(tcp, allowance.clone()));
+        let io = TokioIo::new(LimitedStream::new(
+            tcp,
+            allowance.clone(),
+            shared.memory.charge(None),
+        ));
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(io)
@@ -309,7 +313,7 @@
 ) -> Result<ReceivedResponse, SendError> {
     let (parts, body) = res.into_parts();
     // hyper bounds chunk extensions and trailers, and `read_body` the data.
-    conn.allowance.set(usize::MAX);
+    conn.allowance.lift();
     let body = read_body(shared, body).await?;
     Ok(ReceivedResponse {
         status: parts.status,
