Refuse requests that a leaving node would cut off

What callers saw: requests that came late in the grace period of a planned stop were passed on and got 504 at its end, while their target was at work, also those that must not be repeated. Where a body was still coming, the connection was closed without an answer.

Cause: a node takes requests until half of the grace period is over, and did not ask whether they could end before the cut. Targets got deadlines beyond it, and a body was waited for until the request's own deadline.

Change: admit::Departure. The entry node refuses with 503, as not run, what has less than two mean service times left, also while its body comes. Targets get the cut as their deadline if that is earlier, and the queue of a leaving node counts with it.

Tests: a_leaving_node_refuses_requests_that_would_be_cut_off got 504 before, a_leaving_node_refuses_requests_that_come_too_slowly a closed connection.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `classes`: learned classes and service times.
 //! - `concurrency`: the adaptive concurrency limit below the declared slots, and the cold-start
 //!   ramp.
+//! - `departure`: which requests a node that shuts down still takes.
 //! - `eviction`: choice of the connection to close when connections or memory run short.
 //! - `fair`: fair queueing between callers.
 //! - `limits`: declared limits of a target and parameters of [`Admission`].
@@ -24,6 +25,7 @@
 mod admission;
 mod classes;
 mod concurrency;
+mod departure;
 mod eviction;
 mod fair;
 mod limits;
@@ -35,6 +37,7 @@
 mod target_queue;
 
 pub use admission::Admission;
+pub use departure::Departure;
 pub use eviction::{ConnectionState, Pace, longest_idle, worst_holder};
 pub use limits::{Limits, Reserve, Tuning};
 pub use link_load::LinkLoad;
--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -39,7 +39,7 @@
 
 /// Latency objective for the choice of an instance where the route sets none: that of a request
 /// which a person waits for. For `Pending::due` the entry node assumes its default timeout instead.
-const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
+pub(crate) const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
 
 /// Final outcome of a request at the entry node.
 #[derive(Debug)]
@@ -537,7 +537,7 @@
     let mut call = pending.call.clone();
     call.is_last_resort = slot_terms.is_last_resort;
     call.max_wait_ms = slot_terms.max_wait.map(|d| d.as_millis() as u32);
-    call.remaining_ms = as_millis_u64(pending.deadline.since(now));
+    call.remaining_ms = as_millis_u64(pending.target_deadline(shared).since(now));
     call.due_ms = as_millis_u64(pending.due.since(now));
     match destination {
         Destination::Local => {
--- a/crates/proxy/src/beside.rs
+++ b/crates/proxy/src/beside.rs
@@ -163,13 +163,14 @@
 
 fn new_job(shared: &Shared, call: &Call, now: Time) -> Job {
     let max_wait = call.max_wait_ms.map(|ms| Duration::from_millis(ms.into()));
+    let deadline = now + Duration::from_millis(call.remaining_ms);
     Job {
         route: call.route,
         priority: call.priority,
         organisation: organisation(shared, call),
         arrived: now,
         objective: now + Duration::from_millis(call.due_ms),
-        deadline: now + Duration::from_millis(call.remaining_ms),
+        deadline: shared.departure().map_or(deadline, |d| d.limit(deadline)),
         is_last_resort: call.is_last_resort,
         max_wait: max_wait.unwrap_or(Duration::MAX),
     }
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{mpsc, oneshot};
 use wire::{Code, Executed, Fingerprint, Refusal, ServiceName, Time};
 
-use crate::attempts::{self, FinalOutcome};
+use crate::attempts::{self, DEFAULT_OBJECTIVE, FinalOutcome};
 use crate::beside;
 use crate::latency::Span;
 use crate::memory_wait;
@@ -52,6 +52,15 @@
     pub(crate) call: Call,
 }
 
+impl Pending {
+    /// Returns the deadline for targets, which is earlier than that of the request if this node shuts
+    /// down before.
+    pub(crate) fn target_deadline(&self, shared: &Shared) -> Time {
+        let departure = shared.departure();
+        departure.map_or(self.deadline, |d| d.limit(self.deadline))
+    }
+}
+
 /// A request whose head has arrived.
 #[derive(Debug)]
 pub(crate) struct Arrival {
@@ -204,6 +213,9 @@
         Bytes::copy_from_slice(caller.0.as_bytes()),
     ));
     let remaining = deadline.since(shared.now());
+    if time_to_start(shared, route).is_some_and(|time| time.is_zero()) {
+        return Err(Code::Draining.into());
+    }
     let is_repeatable = beside::is_repeatable(route.repeat);
     let received = async {
         let received = read_body(shared, &bodies, &head.headers, body)
@@ -224,9 +236,10 @@
         }
         Ok::<_, Refusal>(received)
     };
-    let body = tokio::time::timeout(remaining, received)
-        .await
-        .map_err(|_| Code::DeadlinePassed)??;
+    let body = tokio::select! {
+        body = tokio::time::timeout(remaining, received) => body.map_err(|_| Code::DeadlinePassed)??,
+        () = wait_until_too_late(shared, route) => return Err(Code::Draining.into()),
+    };
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let call = Call {
         service,
@@ -343,6 +356,24 @@
     }
 }
 
+/// Returns the time in which a request must be complete so that it ends before this node, which shuts
+/// down, aborts its requests. Returns `None` if the node does not shut down.
+fn time_to_start(shared: &Shared, route: &RoutedRoute) -> Option<Duration> {
+    let departure = shared.departure()?;
+    let mean = shared.route_averages.lock().mean_service(&route.name);
+    let objective = route.objective.unwrap_or(DEFAULT_OBJECTIVE);
+    let latest = departure.latest_start(mean, objective);
+    Some(latest.since(shared.now()))
+}
+
+/// Waits until this node shuts down and a request that is not complete can't end any more.
+async fn wait_until_too_late(shared: &Shared, route: &RoutedRoute) {
+    shared.wait_for_phase(Phase::Leaving).await;
+    while let Some(time) = time_to_start(shared, route).filter(|t| !t.is_zero()) {
+        tokio::time::sleep(time).await;
+    }
+}
+
 /// Buffers the whole body, so that the request can be sent to a second target. The size is bounded
 /// by the routing table's limit, which the connection applies. A body of a declared length is read only
 /// if there is memory for all of it.
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -110,7 +110,9 @@
         let grace_period = self.shared.settings.bounds.grace_period;
         let start = tokio::time::Instant::now();
         log::info!(event = "leaving"; "shutting down; requests in progress have until the end of the grace period");
-        self.enter_phase(Phase::Leaving);
+        let abort_at = self.shared.now() + grace_period.mul_f64(ABORT_AT_FRACTION);
+        self.shared.begin_departure(abort_at);
+        self.shared.status_changed.notify_one();
         tokio::time::sleep_until(start + grace_period.mul_f64(CLOSE_AT_FRACTION)).await;
         self.enter_phase(Phase::Closing);
         tokio::time::sleep_until(start + grace_period.mul_f64(REFUSE_AT_FRACTION)).await;
--- a/crates/proxy/src/remote.rs
+++ b/crates/proxy/src/remote.rs
@@ -161,7 +161,7 @@
         withdraw_on_drop: true,
     };
     announce_body(shared, key, client, call).await?;
-    let cx = context(pending.deadline.since(shared.now()));
+    let cx = context(pending.target_deadline(shared).since(shared.now()));
     let sent = transfer::send(client, cx, transfer, &body).await;
     sent.map_err(|e| match e {
         transfer::SendError::Refused => Refusal::from(Code::QueueFull),
@@ -171,7 +171,7 @@
         }
     })?;
     let now = shared.now();
-    call.remaining_ms = as_millis_u64(pending.deadline.since(now));
+    call.remaining_ms = as_millis_u64(pending.target_deadline(shared).since(now));
     call.due_ms = as_millis_u64(pending.due.since(now));
     Ok(Some(staging))
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -1,10 +1,10 @@
 //! State shared by the tasks of a node. Locks are held briefly, never across an await.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Weak};
+use std::sync::{Arc, OnceLock, Weak};
 use std::time::Duration;
 
-use admit::{JobEvent, JobKey, LinkLoad, QueueState, TargetQueue};
+use admit::{Departure, JobEvent, JobKey, LinkLoad, QueueState, TargetQueue};
 use member::{OwnTarget, TargetIncarnation};
 use memory::Account;
 use ops::{Metric, Metrics};
@@ -89,6 +89,8 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) latencies: Latencies,
     pub(crate) phase: watch::Sender<Phase>,
+    /// Set once, when the node begins to shut down.
+    departure: OnceLock<Departure>,
     /// Peers that have become known and need a connection.
     pub(crate) new_peers: mpsc::UnboundedSender<PeerKey>,
     /// Wakes the task that announces a changed status to the peers.
@@ -182,6 +184,7 @@
             metrics,
             latencies: Latencies::default(),
             phase: watch::Sender::new(Phase::Serving),
+            departure: OnceLock::new(),
             new_peers,
             status_changed: Notify::new(),
             version_behind: Notify::new(),
@@ -243,6 +246,18 @@
         *self.phase.borrow()
     }
 
+    /// Begins the shutdown, in which the requests in progress are aborted at `abort_at`.
+    pub(crate) fn begin_departure(&self, abort_at: Time) {
+        // A second shutdown of the same node changes nothing.
+        let _ = self.departure.set(Departure::new(abort_at));
+        self.phase.send_replace(Phase::Leaving);
+    }
+
+    /// Returns the end of the node's requests; `None` unless it shuts down.
+    pub(crate) fn departure(&self) -> Option<Departure> {
+        self.departure.get().copied()
+    }
+
     pub(crate) fn service(&self) -> ServiceName {
         self.target_settings.lock().service.clone()
     }
--- a/crates/proxy/tests/callers.rs
+++ b/crates/proxy/tests/callers.rs
@@ -313,3 +313,64 @@
     );
     shutdown.await.unwrap();
 }
+
+/// Sends the head of a request with a body of 10 bytes whose caller waits for long.
+async fn send_long_head(caller: &mut Caller, path: &str, id: &str) {
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: a.example\r\nx-id: {id}\r\nx-left: 20000\r\n\
+         content-length: 10\r\n\r\n"
+    );
+    caller.write(head.as_bytes()).await;
+}
+
+/// Guards against requests that a leaving node takes late in the grace period, passes on, and cuts off at
+/// its end while the target is at work.
+#[tokio::test]
+async fn a_leaving_node_refuses_requests_that_would_be_cut_off() {
+    let (node, target) = start_node(script(|req| {
+        vec![
+            Step::Wait(Duration::from_millis(900)),
+            Step::Send(ok_response(req, &req.path)),
+        ]
+    }))
+    .await;
+    let mut kept = Caller::connect(node.caller_addr).await;
+    kept.send("POST", "/once/first", "f", "x").await;
+    assert_eq!(kept.response().await.unwrap().status, 200);
+    let addr = node.caller_addr;
+    // The grace period is 2 s, and what runs is cut off after 1.74 s.
+    let shutdown = tokio::spawn(node.stop());
+    tokio::time::sleep(Duration::from_millis(850)).await;
+    let mut new = Caller::connect(addr).await;
+    for (caller, id) in [(&mut kept, "k"), (&mut new, "n")] {
+        let sent_at = std::time::Instant::now();
+        send_long_head(caller, "/once/late", id).await;
+        caller.write(b"0123456789").await;
+        let response = caller.response().await.expect("a response");
+        assert_eq!(response.status, 503, "{response:?}");
+        assert!(response.body.contains("\"executed\":\"no\""));
+        assert!(sent_at.elapsed() < Duration::from_millis(400));
+    }
+    shutdown.await.unwrap();
+    assert_eq!(received_requests(&target).len(), 1);
+}
+
+/// Guards against connections that are closed without an answer at the end of a shutdown, because their
+/// request was still being received.
+#[tokio::test]
+async fn a_leaving_node_refuses_requests_that_come_too_slowly() {
+    let (node, target) = start_node(echo_path()).await;
+    let mut caller = Caller::connect(node.caller_addr).await;
+    send_long_head(&mut caller, "/once/slow", "s").await;
+    caller.write(b"01234").await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let shutdown = tokio::spawn(node.stop());
+    let response = caller
+        .response()
+        .await
+        .expect("a response, not a closed connection");
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.body.contains("\"executed\":\"no\""));
+    shutdown.await.unwrap();
+    assert!(received_requests(&target).is_empty());
+}
