Leave hedges out where a node's part of the retry budget is below one token

Cause: with at least one token for each node, nodes of a mesh of 79 began to hedge and to repeat refused requests.

Change: where the part of the slack gives less than a token, the one token is for requests that were cut off.

--- a/crates/route/src/shared_budget.rs
+++ b/crates/route/src/shared_budget.rs
@@ -20,7 +20,9 @@
 const BURST_FRACTION: f64 = 0.4;
 /// Fraction of the slack that all nodes together may spend per window on a service with few requests.
 const FLOOR_FRACTION: f64 = 0.3;
-/// Smallest burst of a node. A smaller one would never allow a repeat, however many requests fill it.
+/// Smallest burst of a node. A smaller one would never allow a repeat, however many requests fill it. What
+/// it adds to a node's part of the slack is for requests that were cut off: in meshes of that size,
+/// hedges and repeats of refused requests load other failure domains and serve no more callers.
 const MIN_BURST: f64 = 1.0;
 /// Time for which the next token is kept for a request that was cut off and got none. It is longer than
 /// the time between two attempts of such a request to get one.
@@ -99,8 +101,10 @@
     /// Takes a token for sending a request to a service once more; returns `false` if there is none
     /// for this reason. Requests that were cut off come first.
     pub fn try_spend(&mut self, now: Time, service: &ServiceName, reason: RepeatReason) -> bool {
+        let has_burst = slack_part(&self.cfg, self.nodes) * BURST_FRACTION >= MIN_BURST;
         let part = self.part(now, service);
         match reason {
+            RepeatReason::Optional if !has_burst => false,
             RepeatReason::Optional if part.kept_until.is_some_and(|t| now < t) => false,
             RepeatReason::Optional => part.budget.try_spend(now),
             RepeatReason::CutOff => {
@@ -131,13 +135,18 @@
 
 /// Returns the settings of the part that one of `nodes` nodes has in a budget.
 fn part_cfg(cfg: &SharedBudgetCfg, nodes: usize) -> BudgetCfg {
-    let slack = match nodes {
-        0 => 0.0,
-        n => cfg.slack / n as f64,
-    };
+    let slack = slack_part(cfg, nodes);
     BudgetCfg {
         share: cfg.ratio * RATIO_FRACTION,
         floor_per_s: slack * FLOOR_FRACTION / cfg.window.as_secs_f64(),
         burst: (slack * BURST_FRACTION).max(MIN_BURST),
     }
 }
+
+/// Returns one node's part of the slack, 0 while the number of nodes is not known.
+fn slack_part(cfg: &SharedBudgetCfg, nodes: usize) -> f64 {
+    match nodes {
+        0 => 0.0,
+        n => cfg.slack / n as f64,
+    }
+}
