--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,7 +14,7 @@
 //! - `freshness`, `usage_limits`: keys and usage limits of organisations.
 //! - `node`: start and graceful shutdown; `shared`: state shared by the tasks; `state`: what operators
 //!   see of it;
-//!   `body_memory`: the memory that a node takes for others; `connections`: those of callers, and
+//!   `memory_wait`: the memory that a node takes for others; `connections`: those of callers, and
 //!   which are closed when memory or descriptors run short.
 
 mod attempts;
