--- a/crates/admit/src/target_queue.rs
+++ b/crates/admit/src/target_queue.rs
@@ -44,8 +44,8 @@
 const DECLARED_SERVICE_FRACTION: f64 = 0.5;
 /// Time without requests after which the reported service time and failure rate begin to decay.
 const IDLE_GRACE: Duration = Duration::from_secs(1);
-/// Half-life of that decay. A target that is no longer chosen for what it was then gets requests again,
-/// which show what it is now.
+/// Half-life of that decay. Entry nodes avoid a target that has reported a bad spell, so without a decay
+/// it would get no request that could show its recovery.
 const IDLE_HALF_LIFE: Duration = Duration::from_secs(2);
 
 new_key_type! {
--- a/crates/admit/tests/target_queue.rs
+++ b/crates/admit/tests/target_queue.rs
@@ -478,7 +478,7 @@
     assert!(recovered.service_time <= ms(60) && recovered.failure_rate < 0.05);
 }
 
-/// Guards against an instance that is never chosen beside one that has answered a single request: the
+/// Guards against an instance that gets no requests beside one that has answered a single request: the
 /// first sample would replace the assumption that both started with.
 #[test]
 fn the_first_sample_does_not_replace_the_initial_assumption() {
