--- a/review/mesh3.rs
+++ b/review/mesh3.rs
@@ -29,6 +29,7 @@
     let result = match case.as_str() {
         "revoked-key" => revoked_key(&record, has_trouble),
         "split-limit" => split_limit(&record, has_trouble),
+        "suspended-ledger" => suspended_ledger(&record, has_trouble),
         other => Err(Error::other(format!("no case {other}"))),
     };
     match result {
@@ -512,6 +513,7 @@
     ready: SocketAddr,
     control: SocketAddr,
     first_port: u16,
+    link_mbps: u32,
 }
 
 /// The network of a run: a range of loopback addresses of its own.
@@ -544,6 +546,7 @@
             ready: addrs[3],
             control: addrs[4],
             first_port: addrs[5].port(),
+            link_mbps: 100,
         })
     }
 }
@@ -557,10 +560,11 @@
     fn start(machine: &Machine, store: &Store, dir: &str, bounds: &str) -> Result<Node, Error> {
         let m = machine;
         let settings = format!(
-            r#"{{"self_node":{{"node":"{}","role":"node","machine_class":"sidecar","serves":["sidecar"],"ip":"{}","zone":"{}","region":"r","fault_counted":false,"bootstrap":false,"data_dir":null,"limits":{{"cpu_share":0.2,"cores":1,"memory_mb":260,"max_fds":4100,"link_mbps":1000.0,"disk_mb":0}},"app_addr":"{}","service":"{}"}},"network":{{"listen":{{"inbound":"{}","outbound":"{}","ready_addr":"{}","control":"{}"}},"port_range":[{},{}],"seed_nodes":[],"zones":{{"z-a":"r","z-b":"r","z-c":"r"}}}},"platform":{{"discovery":"static","entry":"static","heartbeat_ms":1500,"platform":{{"address":"{}","form":"log","writes_per_s":400,"reads_per_s":2000,"parts":8,"append_ms":4.0,"ingress_per_s":20.0,"egress_per_s":80.0,"record_bytes":262144,"call_bytes":2097152,"keep_s":300,"part_mb":200,"ttl_min_ms":1000}}}},"terms":{{"contracts":["base","drain","config","cost","retry","recover","tenants","quota","platform"],"fault_tolerance":{{"machines":2,"zones":1,"regions":0}},"bounds":{{"seed_lag_s":3,"addr_reuse_s":2,"contact_ms":3000,"ack_ms":5000,"catch_up_s":6,"drain_ms":2500,"grace_s":6,"loss_slack_ms":200,"config_apply_ms":2500,"rollback_slack_ms":250,"skew_max_ms":5000,"retry_budget_ratio":0.2,"budget_window_s":10,"budget_slack":64,"recovery_s":15{bounds}}}}}}}"#,
+            r#"{{"self_node":{{"node":"{}","role":"node","machine_class":"sidecar","serves":["sidecar"],"ip":"{}","zone":"{}","region":"r","fault_counted":false,"bootstrap":false,"data_dir":null,"limits":{{"cpu_share":0.2,"cores":1,"memory_mb":260,"max_fds":4100,"link_mbps":{}.0,"disk_mb":0}},"app_addr":"{}","service":"{}"}},"network":{{"listen":{{"inbound":"{}","outbound":"{}","ready_addr":"{}","control":"{}"}},"port_range":[{},{}],"seed_nodes":[],"zones":{{"z-a":"r","z-b":"r","z-c":"r"}}}},"platform":{{"discovery":"static","entry":"static","heartbeat_ms":1500,"platform":{{"address":"{}","form":"log","writes_per_s":400,"reads_per_s":2000,"parts":8,"append_ms":4.0,"ingress_per_s":20.0,"egress_per_s":80.0,"record_bytes":262144,"call_bytes":2097152,"keep_s":300,"part_mb":200,"ttl_min_ms":1000}}}},"terms":{{"contracts":["base","drain","config","cost","retry","recover","tenants","quota","platform"],"fault_tolerance":{{"machines":2,"zones":1,"regions":0}},"bounds":{{"seed_lag_s":3,"addr_reuse_s":2,"contact_ms":3000,"ack_ms":5000,"catch_up_s":6,"drain_ms":2500,"grace_s":6,"loss_slack_ms":200,"config_apply_ms":2500,"rollback_slack_ms":250,"skew_max_ms":5000,"retry_budget_ratio":0.2,"budget_window_s":10,"budget_slack":64,"recovery_s":15{bounds}}}}}}}"#,
             m.name,
             m.ip,
             m.zone,
+            m.link_mbps,
             m.app,
             m.service,
             m.inbound,
@@ -680,9 +684,15 @@
 
     /// Adds a machine with a server and a node.
     fn add(&mut self, service: &str) -> Result<Machine, Error> {
+        self.add_with_link(service, 100)
+    }
+
+    /// Adds a machine whose link has this speed.
+    fn add_with_link(&mut self, service: &str, link_mbps: u32) -> Result<Machine, Error> {
         let number = self.machines.len() as u8 + 1;
         let zone = ["z-a", "z-b", "z-c"][self.machines.len() % 3];
-        let machine = self.net.machine(number, service, zone)?;
+        let mut machine = self.net.machine(number, service, zone)?;
+        machine.link_mbps = link_mbps;
         let server = Server::start(&machine, self.work, &self.runs, &self.record);
         let node = Node::start(&machine, &self.store, &self.folder.0, self.bounds)?;
         self.record.line(&format!(
@@ -726,6 +736,15 @@
     }
 }
 
+/// Returns the largest number of `times` within a span of this length.
+fn most_within(times: &[Instant], window: Duration) -> usize {
+    let counts = times.iter().enumerate().map(|(i, start)| {
+        let in_window = times[i..].iter().take_while(|t| **t < *start + window);
+        in_window.count()
+    });
+    counts.max().unwrap_or(0)
+}
+
 fn sleep_until(at: Instant) {
     thread::sleep(at.saturating_duration_since(Instant::now()));
 }
@@ -879,11 +898,7 @@
         .map(|r| r.at)
         .collect();
     times.sort();
-    let most = times.iter().enumerate().map(|(i, start)| {
-        let in_window = times[i..].iter().take_while(|t| **t < *start + WINDOW);
-        in_window.count()
-    });
-    let most = most.max().unwrap_or(0);
+    let most = most_within(&times, WINDOW);
     let allowed = (RATE * WINDOW.as_secs_f64() + BURST) * 1.1 + 20.0;
     record.line(&format!(
         "{} requests of the tenant ran in 12 s; at most {most} in 5 s, allowed are {allowed:.0}",
@@ -891,3 +906,70 @@
     ));
     Ok(most as f64 <= allowed)
 }
+
+/// The machine that adds up the use of tenants is suspended for some seconds, and a tenant begins to send
+/// several times its usual. Is its limit kept?
+fn suspended_ledger(record: &Arc<Record>, has_trouble: bool) -> Result<bool, Error> {
+    const WINDOW: Duration = Duration::from_secs(5);
+    const RATE: f64 = 100.0;
+    const BURST: f64 = 100.0;
+    /// Requests a second: the usual is the limit divided by 1.6, the hot time has 7.5 times that.
+    const USUAL: u64 = 62;
+    const HOT: u64 = 469;
+    const SUSPENDED: Duration = Duration::from_millis(3_300);
+    let bounds = r#","strict_revoke":true,"revoke_ms":5000,"quota_window_s":5,"quota_overage":0.1,"quota_slack":20"#;
+    let mut mesh = Mesh::new(record, bounds, Duration::from_millis(20))?;
+    mesh.store.put("config", &config(4, &["desk"], r#"["tenant-1",["key-1"],1,100,100]"#));
+    // The node with the fastest link adds up, see `owner` in crates/proxy/src/usage_limits.rs.
+    mesh.add_with_link("desk", 200)?;
+    for _ in 0..4 {
+        mesh.add("desk")?;
+    }
+    mesh.wait_until_served(&["/desk/x"], "key-1")?;
+    thread::sleep(Duration::from_secs(2));
+    let began = Instant::now();
+    let hot_at = began + Duration::from_secs(4);
+    let until = hot_at + Duration::from_millis(6_500);
+    let mut senders = Vec::new();
+    for n in 0..HOT {
+        // None of the tenant's clients is on the machine that is suspended.
+        let machine = mesh.machines[1 + n as usize % 4].clone();
+        let record = record.clone();
+        let from = if n < USUAL { began } else { hot_at };
+        senders.push(thread::spawn(move || {
+            let mut next = from + Duration::from_micros(1_000_000 / HOT * (n * 37 % HOT));
+            while next < until {
+                sleep_until(next);
+                next += Duration::from_secs(1);
+                let (id, status) = get(&machine, "/desk/x", "key-1");
+                record.detail(&format!("{id} at {} gets {status}", machine.name));
+            }
+        }));
+    }
+    sleep_until(hot_at - Duration::from_millis(300));
+    let pid = mesh.nodes[0].child.id().to_string();
+    if has_trouble {
+        Command::new("kill").args(["-STOP", &pid]).status()?;
+        record.line("m1 is suspended");
+    }
+    sleep_until(hot_at);
+    record.line("the tenant sends 469 a second, none of it at m1");
+    sleep_until(hot_at - Duration::from_millis(300) + SUSPENDED);
+    if has_trouble {
+        Command::new("kill").args(["-CONT", &pid]).status()?;
+        record.line("m1 goes on");
+    }
+    for sender in senders {
+        let _ = sender.join();
+    }
+    let runs = mesh.runs.lock().expect("no panic");
+    let mut times: Vec<_> = runs.values().map(|r| r.at).filter(|at| *at >= began).collect();
+    times.sort();
+    let most = most_within(&times, WINDOW);
+    let allowed = (RATE * WINDOW.as_secs_f64() + BURST) * 1.1 + 20.0;
+    record.line(&format!(
+        "{} requests of the tenant ran; at most {most} in 5 s, allowed are {allowed:.0}",
+        times.len()
+    ));
+    Ok(most as f64 <= allowed)
+}
