--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 # held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/briarlug ] && [ -x target/review/mesh3 ] || exit 2
-exec target/review/mesh3 suspended-ledger review/14/record.txt
+exec target/review/mesh3 popular-path review/14/record.txt
--- a/review/mesh3.rs
+++ b/review/mesh3.rs
@@ -33,6 +33,7 @@
         "revoked-key" => revoked_key(&record, has_trouble),
         "split-limit" => split_limit(&record, has_trouble),
         "forgotten-departure" => forgotten_departure(&record, has_trouble),
+        "popular-path" => popular_path(&record, has_trouble),
         "missed-version" => missed_version(&record, has_trouble),
         "suspended-ledger" => suspended_ledger(&record, has_trouble),
         other => Err(Error::other(format!("no case {other}"))),
@@ -425,40 +426,48 @@
 /// An application server beside a node.
 struct Server {
     id: String,
-    born: u128,
-    /// Begin of a report's body.
-    report: String,
+    addr: SocketAddr,
+    /// Start of the present boot in Unix milliseconds.
+    born: AtomicU64,
+    /// Part of a report that does not change.
+    info: String,
     sequence: AtomicU64,
     /// Whether it sends no more reports.
     is_stopped: AtomicBool,
     is_leaving: AtomicBool,
+    is_crashed: AtomicBool,
+    /// Whether the port is closed.
+    is_closed: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
 }
 
 impl Server {
     fn start(machine: &Machine, work: Duration, runs: &Runs, record: &Arc<Record>) -> Arc<Server> {
-        let born = unix_ms();
         let server = Arc::new(Server {
             id: format!("i-{}", machine.name),
-            born,
-            report: format!(
-                "{{\"address\":\"{}\",\"born\":{born},\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\"zone\":\"{}\",\"slots\":18}},",
+            addr: machine.app,
+            born: AtomicU64::new(unix_ms()),
+            info: format!(
+                "\"address\":\"{}\",\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\"zone\":\"{}\",\"slots\":18}}",
                 machine.app, machine.service, machine.zone
             ),
             sequence: AtomicU64::new(0),
             is_stopped: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
+            is_crashed: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
+            open: Mutex::default(),
         });
         let listener = TcpListener::bind(machine.app).expect("the port was free");
         let (accepting, runs, record) = (server.clone(), runs.clone(), record.clone());
-        thread::spawn(move || {
-            for tcp in listener.incoming().flatten() {
-                let (server, runs, record) = (accepting.clone(), runs.clone(), record.clone());
-                thread::spawn(move || server.serve(&tcp, work, &runs, &record));
-            }
-        });
+        thread::spawn(move || accepting.accept_all(listener, work, &runs, &record));
         let (beating, control) = (server.clone(), machine.control);
         thread::spawn(move || {
             while !beating.is_stopped.load(Ordering::Relaxed) {
+                if beating.is_crashed.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(20));
+                    continue;
+                }
                 let status = beating.report(control, beating.next_sequence());
                 let is_acknowledged = status == 200;
                 thread::sleep(if is_acknowledged { HEARTBEAT } else { HEARTBEAT / 5 });
@@ -467,6 +476,59 @@
         server
     }
 
+    /// Serves connections; while the server is down, its port refuses them.
+    fn accept_all(
+        self: Arc<Server>,
+        listener: TcpListener,
+        work: Duration,
+        runs: &Runs,
+        record: &Arc<Record>,
+    ) {
+        let mut listener = Some(listener);
+        loop {
+            let Some(accepting) = listener.take().or_else(|| TcpListener::bind(self.addr).ok()) else {
+                thread::sleep(Duration::from_millis(10));
+                continue;
+            };
+            self.is_closed.store(false, Ordering::Relaxed);
+            for tcp in accepting.incoming().flatten() {
+                if self.is_crashed.load(Ordering::Relaxed) {
+                    break;
+                }
+                if let Ok(copy) = tcp.try_clone() {
+                    self.open.lock().expect("no panic").push(copy);
+                }
+                let (server, runs, record) = (self.clone(), runs.clone(), record.clone());
+                thread::spawn(move || server.serve(&tcp, work, &runs, &record));
+            }
+            drop(accepting);
+            self.is_closed.store(true, Ordering::Relaxed);
+            while self.is_crashed.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(10));
+            }
+        }
+    }
+
+    /// Ends the server at once, with all that it runs.
+    fn crash(&self) {
+        self.is_crashed.store(true, Ordering::Relaxed);
+        // Wakes the accept loop, which then closes the port.
+        let _ = TcpStream::connect(self.addr);
+        while !self.is_closed.load(Ordering::Relaxed) {
+            thread::yield_now();
+        }
+        for tcp in self.open.lock().expect("no panic").drain(..) {
+            let _ = tcp.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Starts the server again under its id; its counts start anew.
+    fn restart(&self) {
+        self.born.store(unix_ms(), Ordering::Relaxed);
+        self.sequence.store(0, Ordering::Relaxed);
+        self.is_crashed.store(false, Ordering::Relaxed);
+    }
+
     fn next_sequence(&self) -> u64 {
         self.sequence.fetch_add(1, Ordering::Relaxed) + 1
     }
@@ -478,8 +540,9 @@
             self.id
         );
         let body = format!(
-            "{}\"status\":{{\"state\":\"ready\",\"sequence\":{sequence},\"cold_left_ms\":0}}}}",
-            self.report
+            "{{{},\"born\":{},\"status\":{{\"state\":\"ready\",\"sequence\":{sequence},\"cold_left_ms\":0}}}}",
+            self.info,
+            self.born.load(Ordering::Relaxed)
         );
         let sent = exchange(control, &head, body.as_bytes(), Duration::from_secs(1));
         sent.map_or(0, |a| a.status())
@@ -508,7 +571,14 @@
                 let server = self.id.clone();
                 let run = Run { at, server, tenant };
                 runs.lock().expect("no panic").insert(id.clone(), run);
-                thread::sleep(work);
+                let until = Instant::now() + work;
+                while Instant::now() < until {
+                    let left = until.saturating_duration_since(Instant::now());
+                    thread::sleep(left.min(Duration::from_millis(10)));
+                    if self.is_crashed.load(Ordering::Relaxed) {
+                        return;
+                    }
+                }
                 let headers =
                     format!("Request-Id: {id}\r\nResponse-Signature: 1.{id}\r\n{load}");
                 respond(tcp, "200 OK", &headers, b"done")
@@ -520,9 +590,9 @@
     }
 }
 
-fn unix_ms() -> u128 {
+fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.unwrap_or_default().as_millis()
+    since.unwrap_or_default().as_millis() as u64
 }
 
 // ---------------------------------------------------------------------------------------------------
@@ -1083,7 +1153,7 @@
     // Its last two reports are under way for some seconds; these are their sequence numbers.
     let late = [leaving.next_sequence(), leaving.next_sequence()];
     let head = format!("DELETE /v1/instances/{} HTTP/1.1\r\nHost: node\r\nContent-Type: application/json", leaving.id);
-    let body = format!("{{\"born\":{}}}", leaving.born);
+    let body = format!("{{\"born\":{}}}", leaving.born.load(Ordering::Relaxed));
     let answer = exchange(machine.control, &head, body.as_bytes(), Duration::from_secs(1))?;
     let left = Instant::now();
     record.line(&format!("server {} deregisters and gets {}", leaving.id, answer.status()));
@@ -1133,3 +1203,71 @@
     }
     Ok(of(&leaving.id) == 0)
 }
+
+/// Two servers of a service crash, one after the other, and are back after two seconds each. Are requests
+/// served again that many clients send alike?
+fn popular_path(record: &Arc<Record>, has_trouble: bool) -> Result<bool, Error> {
+    const DOWN: Duration = Duration::from_secs(2);
+    const CONTACT: Duration = Duration::from_secs(3);
+    let mut mesh = Mesh::new(record, SMALL_SITE, Duration::from_millis(100))?;
+    mesh.store.put("config", &config(4, &["desk"], NO_TENANTS));
+    for service in ["desk", "yard", "yard", "yard"] {
+        mesh.add(service)?;
+    }
+    mesh.wait_until_served(&["/desk/list"], "")?;
+    mesh.store.put("config", &config(5, &["desk", "yard"], NO_TENANTS));
+    record.line("version 5 adds the route of the second service");
+    mesh.wait_until_served(&["/yard/list"], "")?;
+    thread::sleep(Duration::from_secs(3));
+    let began = Instant::now();
+    let until = began + Duration::from_secs(30);
+    let (answered, answers) = std::sync::mpsc::channel();
+    let mut senders = Vec::new();
+    for n in 0..32 {
+        let (machine, answered) = (mesh.machines[n % 4].clone(), answered.clone());
+        let path = if n < 8 { "/desk/list" } else { "/yard/list" };
+        let record = record.clone();
+        senders.push(thread::spawn(move || {
+            while Instant::now() < until {
+                let at = Instant::now();
+                let (id, status) = get(&machine, path, "");
+                record.detail(&format!("{id} {path} at {} gets {status}", machine.name));
+                let _ = answered.send((at, path, status));
+                thread::sleep(Duration::from_millis(20 + 3 * n as u64));
+            }
+        }));
+    }
+    drop(answered);
+    for (n, server) in mesh.servers[1..3].iter().enumerate() {
+        sleep_until(began + Duration::from_secs(4 * (n as u64 + 1)));
+        if has_trouble {
+            server.crash();
+            record.line(&format!("server {} crashes", server.id));
+        }
+        thread::sleep(DOWN);
+        if has_trouble {
+            server.restart();
+            record.line(&format!("server {} has started again", server.id));
+        }
+    }
+    let steady_from = Instant::now() + CONTACT;
+    for sender in senders {
+        let _ = sender.join();
+    }
+    let answers: Vec<_> = answers.into_iter().filter(|(at, ..)| *at > steady_from).collect();
+    let share = |path: &str| {
+        let of: Vec<_> = answers.iter().filter(|(_, p, _)| *p == path).collect();
+        let served = of.iter().filter(|(.., status)| *status == 200).count();
+        record.line(&format!("from 3 s after the last start on, {path}: {served} of {} served", of.len()));
+        (of.len(), served as f64 / of.len().max(1) as f64)
+    };
+    let ((_, first), (later_sent, later)) = (share("/desk/list"), share("/yard/list"));
+    for path in ["/yard/one", "/yard/two", "/yard/three"] {
+        let (id, status) = get(&mesh.machines[0], path, "");
+        record.line(&format!("{id} on the same route, {path}: {status}"));
+    }
+    if first < 0.5 || later_sent < 20 {
+        return Err(Error::other("the first route is not served, or too little was sent"));
+    }
+    Ok(later >= first / 4.0)
+}
