Hold what the log acknowledged only until it is restored

Cause: offsets, registrations, departures and reads as a proof rested on what the log had once acknowledged. After a restore from a copy, offsets are given out again, and readers polled behind records that they had never read. Nothing read the number of restores that each answer names.

Change: plat::Restores keeps that number, statuses pass it on between nodes. After a restore each node reads the newest version, registers and records departures again, and asks all peers for their status. A read proves a table only after most nodes have been heard, and if none has a newer version.

--- a/crates/fakes/src/keyed.rs
+++ b/crates/fakes/src/keyed.rs
@@ -6,8 +6,8 @@
 
 use parking_lot::Mutex;
 use plat::{
-    Batch, BoxFuture, KeyedLog, KeyedRecord, Log, LogError, NewestRecords, Record, decode_keyed,
-    encode_keyed,
+    Batch, BoxFuture, KeyedLog, KeyedRecord, Log, LogError, NewestRecords, Record, Restores,
+    decode_keyed, encode_keyed,
 };
 use tokio::sync::watch;
 use wire::Offset;
@@ -37,6 +37,7 @@
 struct State {
     streams: BTreeMap<String, Stream>,
     call_count: u64,
+    restore_count: u64,
 }
 
 /// An in-memory keyed log. Clones share their content and fault.
@@ -44,6 +45,8 @@
 pub struct FakeKeyedLog {
     state: Arc<Mutex<State>>,
     fault: Arc<Mutex<KeyedFault>>,
+    /// What the clients of this path to the log know of its restores.
+    restores: Restores,
     changed: watch::Sender<u64>,
 }
 
@@ -52,6 +55,7 @@
         FakeKeyedLog {
             state: Arc::default(),
             fault: Arc::default(),
+            restores: Restores::default(),
             changed: watch::Sender::new(0),
         }
     }
@@ -82,10 +86,34 @@
         self.changed.send_modify(|n| *n += 1);
     }
 
+    /// Returns the number of records of each stream, for a later [`FakeKeyedLog::restore`].
+    pub fn copy(&self) -> BTreeMap<String, usize> {
+        let state = self.state.lock();
+        let lens = state
+            .streams
+            .iter()
+            .map(|(name, s)| (name.clone(), s.records.len()));
+        lens.collect()
+    }
+
+    /// Restores the log from a copy: what was appended after it is lost. Waiting reads go on in the
+    /// restored log.
+    pub fn restore(&self, copy: &BTreeMap<String, usize>) {
+        let mut state = self.state.lock();
+        for (name, s) in &mut state.streams {
+            s.records.truncate(copy.get(name).copied().unwrap_or(0));
+            s.oldest = s.oldest.min(s.records.len());
+        }
+        state.restore_count += 1;
+        drop(state);
+        self.changed.send_modify(|n| *n += 1);
+    }
+
     /// Returns a log with the same content and a fault of its own, for one node's path to the log.
     pub fn separate_path(&self) -> FakeKeyedLog {
         FakeKeyedLog {
             fault: Arc::default(),
+            restores: Restores::default(),
             ..self.clone()
         }
     }
@@ -125,6 +153,7 @@
         let fault = self.apply_fault().await?;
         let first = {
             let mut state = self.state.lock();
+            self.restores.record(Some(state.restore_count));
             let s = state.streams.entry(stream.to_owned()).or_default();
             let first = Offset(s.records.len() as u64);
             if end.is_some_and(|end| end != first) {
@@ -143,9 +172,11 @@
 
     fn read_now(&self, stream: &str, from: Offset) -> Result<Batch, LogError> {
         let mut state = self.state.lock();
+        let restores = Some(state.restore_count);
+        self.restores.record(restores);
         let s = state.streams.entry(stream.to_owned()).or_default();
         let start = from.0 as usize;
-        if start < s.oldest {
+        if start < s.oldest || start > s.records.len() {
             let oldest = Offset(s.oldest as u64);
             return Err(LogError::Expired { from, oldest });
         }
@@ -159,6 +190,7 @@
                 .collect(),
             oldest: Offset(s.oldest as u64),
             end: Offset(s.records.len() as u64),
+            restores,
         })
     }
 }
@@ -196,6 +228,10 @@
 }
 
 impl KeyedLog for FakeKeyedLog {
+    fn restores(&self) -> &Restores {
+        &self.restores
+    }
+
     fn append_at<'a>(
         &'a self,
         stream: &'a str,
@@ -212,6 +248,8 @@
         Box::pin(async move {
             self.apply_fault().await?;
             let mut state = self.state.lock();
+            let restores = Some(state.restore_count);
+            self.restores.record(restores);
             let s = state.streams.entry(stream.to_owned()).or_default();
             let mut newest: BTreeMap<Vec<u8>, KeyedRecord> = BTreeMap::new();
             for (i, data) in s.records.iter().enumerate() {
@@ -222,6 +260,7 @@
             Ok(NewestRecords {
                 records: newest.into_values().collect(),
                 end: Offset(s.records.len() as u64),
+                restores,
             })
         })
     }
--- a/crates/fakes/src/log.rs
+++ b/crates/fakes/src/log.rs
@@ -168,6 +168,7 @@
             records: batch_records.map(record).collect(),
             oldest: Offset(s.oldest),
             end: Offset(s.end()),
+            restores: None,
         };
         Ok(batch)
     }
--- a/crates/plat/src/keyed.rs
+++ b/crates/plat/src/keyed.rs
@@ -3,7 +3,7 @@
 use snafu::{Snafu, ensure};
 use wire::Offset;
 
-use crate::{BoxFuture, Log, LogError};
+use crate::{BoxFuture, Log, LogError, Restores};
 
 /// Length of the longest key in bytes. A record stores the length of its key in one byte.
 pub const MAX_KEY_BYTES: usize = 255;
@@ -26,6 +26,8 @@
     pub records: Vec<KeyedRecord>,
     /// Offset that the next appended record will get.
     pub end: Offset,
+    /// How often the log had been restored when it answered; `None` for a log that does not say.
+    pub restores: Option<u64>,
 }
 
 /// The reason why a record of a keyed stream can't be encoded or decoded.
@@ -44,6 +46,9 @@
 
 /// A log that also offers keyed streams.
 pub trait KeyedLog: Log {
+    /// Returns how often the log has been restored, which every answer of the log may raise.
+    fn restores(&self) -> &Restores;
+
     /// Returns the newest record of each key of `stream`.
     ///
     /// # Errors
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -6,6 +6,7 @@
 mod http;
 mod keyed;
 mod message;
+mod restores;
 
 use std::fmt;
 use std::future::Future;
@@ -23,6 +24,7 @@
     KeyedError, KeyedLog, KeyedRecord, MAX_KEY_BYTES, NewestRecords, decode_keyed, encode_keyed,
 };
 pub use message::{Append, Appended, Page, PageRecord};
+pub use restores::Restores;
 
 /// A boxed future; it allows [`Log`] to be used as a trait object.
 pub type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
@@ -84,6 +86,8 @@
     pub oldest: Offset,
     /// Offset that the next record appended to the stream will get.
     pub end: Offset,
+    /// How often the log had been restored when it answered; `None` for a log that does not say.
+    pub restores: Option<u64>,
 }
 
 /// The platform's append-only log.
--- a/crates/plat/src/message.rs
+++ b/crates/plat/src/message.rs
@@ -86,6 +86,7 @@
         Ok(Batch {
             oldest: Offset(raw.oldest),
             end: Offset(raw.end),
+            restores: None,
             records: raw
                 .records
                 .iter()
--- a/crates/proxy/src/departures.rs
+++ b/crates/proxy/src/departures.rs
@@ -16,7 +16,7 @@
 
 use crate::message::DepartedIncarnation;
 use crate::shared::{Phase, Shared, sleep_unless_stopped};
-use crate::source::Backoff;
+use crate::source::{self, Backoff};
 
 /// Start of the keys in the node stream; the node's link address, the start time and the name of the
 /// departed incarnation follow, separated by spaces.
@@ -64,12 +64,24 @@
     }
 }
 
+/// Registers this node, and records the departures of its target in the log, until the node stops. A log
+/// that was restored may have lost both, so that they are repeated.
+pub(crate) async fn keep_recorded(shared: Arc<Shared>) {
+    while let Some(registration) = source::register(&shared).await {
+        let restores = registration.restores;
+        tokio::select! {
+            () = record(&shared) => return,
+            _ = shared.settings.source.log.restores().wait_beyond(restores) => {}
+        }
+    }
+}
+
 /// Records the departures of this node's target in the log, until the node stops. Runs after
 /// [`load`].
-pub(crate) async fn record(shared: Arc<Shared>) {
+async fn record(shared: &Shared) {
     let mut backoff = Backoff::new();
     loop {
-        let departed = departed(&shared);
+        let departed = departed(shared);
         if *shared.recorded_departures.borrow() == departed {
             tokio::select! {
                 () = shared.departures_changed.notified() => {}
@@ -77,7 +89,7 @@
             }
             continue;
         }
-        match append_changes(&shared, &departed).await {
+        match append_changes(shared, &departed).await {
             Ok(()) => {
                 backoff = Backoff::new();
                 shared.recorded_departures.send_replace(departed);
@@ -85,7 +97,7 @@
             Err(e) => {
                 shared.metrics.count(Metric::LogFailures);
                 log::warn!(event = "departure_append_failed", error:% = e; "could not record a departure of the target in the log; retrying after a backoff");
-                if !sleep_unless_stopped(&shared, backoff.next(&shared)).await {
+                if !sleep_unless_stopped(shared, backoff.next(shared)).await {
                     return;
                 }
             }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -40,6 +40,7 @@
 mod read_limit;
 mod readers;
 mod remote;
+mod restores;
 mod retries;
 mod rollouts;
 mod settings;
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -99,6 +99,7 @@
 impl Link for LinkServer {
     async fn hello(self, _: Context, from: Status) -> HelloReply {
         self.shared.add_peer(from.link);
+        note_status(&self.shared, &from);
         let peers = self.shared.peers.lock();
         let (nodes, your_departed) = (peers.links(), peers.departed_at(from.link));
         drop(peers);
@@ -110,7 +111,7 @@
     }
 
     async fn status(self, _: Context, from: Status) -> Status {
-        note_version(&self.shared, from.version);
+        note_status(&self.shared, &from);
         self.shared
             .peers
             .lock()
@@ -362,6 +363,7 @@
     is_introduced.store(true, Ordering::Relaxed);
     departures::apply(shared, &reply.your_departed);
     let version = reply.status.version;
+    note_status(shared, &reply.status);
     shared
         .peers
         .lock()
@@ -370,7 +372,6 @@
         shared.add_peer(node);
     }
     log::info!(event = "peer_connected", link:% = link, version; "connected to the peer");
-    note_version(shared, version);
     Some(driver)
 }
 
@@ -396,7 +397,7 @@
         let reply = client.status(context(STATUS_TIMEOUT), shared.status(now));
         match tokio::time::timeout(STATUS_TIMEOUT, reply).await {
             Ok(Ok(status)) => {
-                note_version(shared, status.version);
+                note_status(shared, &status);
                 shared
                     .peers
                     .lock()
@@ -427,20 +428,36 @@
             () = shared.wait_for_phase(Phase::Stopped) => return,
         }
         let status = shared.status(shared.now());
-        for (_, client) in shared.peers.lock().clients() {
-            let status = status.clone();
-            shared.tasks.spawn(async move {
-                // A peer that misses the announcement learns the status from the next status call.
-                let _ = client.status(context(STATUS_TIMEOUT), status).await;
-            });
+        for (key, client) in shared.peers.lock().clients() {
+            let announcement = announce_status_to(shared.clone(), key, client, status.clone());
+            shared.tasks.spawn(announcement);
         }
         tokio::time::sleep(ANNOUNCE_INTERVAL).await;
     }
 }
 
+async fn announce_status_to(shared: Arc<Shared>, key: PeerKey, client: LinkClient, status: Status) {
+    // A peer that misses the announcement learns the status from the next status call.
+    if let Ok(status) = client.status(context(STATUS_TIMEOUT), status).await {
+        note_status(&shared, &status);
+        let now = shared.now();
+        shared.peers.lock().apply_status_reply(now, key, status);
+    }
+}
+
+/// Takes over what a peer's status tells of versions and of the log.
+fn note_status(shared: &Shared, status: &Status) {
+    let log = &shared.settings.source.log;
+    log.restores().record(status.log_restores);
+    note_version(shared, status.version);
+}
+
 /// Wakes the task that fetches versions from peers if `version`, which a peer has announced, is
 /// newer than the one in force.
 fn note_version(shared: &Shared, version: u64) {
+    shared
+        .newest_announced
+        .fetch_max(version, Ordering::Relaxed);
     if version > shared.versions.number() {
         shared.version_behind.notify_one();
     }
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -74,6 +74,8 @@
     pub(crate) service: ServiceName,
     /// Version of the routing table in force, 0 for none.
     pub(crate) version: u64,
+    /// How often the log has been restored, as far as the node knows.
+    pub(crate) log_restores: Option<u64>,
     /// Speed of the instance's network link in megabits per second.
     pub(crate) link_mbps: u32,
     /// Whether the node is shutting down.
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -18,8 +18,8 @@
 use crate::shared::{Phase, Shared};
 use crate::state::{self, NodeState};
 use crate::{
-    beside, connections, deciding, departures, freshness, health, link, listen, rollouts, source,
-    usage_limits,
+    beside, connections, deciding, departures, freshness, health, link, listen, restores, rollouts,
+    source, usage_limits,
 };
 
 /// Fraction of the grace period after which a leaving node asks callers to close their connections.
@@ -81,11 +81,8 @@
         tasks.spawn(link::serve(shared.clone(), link_listener));
         tasks.spawn(link::dial_all(shared.clone(), known_peers));
         tasks.spawn(link::announce_status(shared.clone()));
-        let recorder = shared.clone();
-        tasks.spawn(async move {
-            source::register(recorder.clone()).await;
-            departures::record(recorder).await;
-        });
+        tasks.spawn(departures::keep_recorded(shared.clone()));
+        tasks.spawn(restores::follow(shared.clone()));
         tasks.spawn(source::follow_versions(shared.clone()));
         tasks.spawn(source::fetch_announced_versions(shared.clone()));
         tasks.spawn(source::announce_as_reader(shared.clone()));
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -54,6 +54,8 @@
     status: Option<Status>,
     /// When the peer last sent its status or queue state.
     updated_at: Time,
+    /// When the peer last sent its status.
+    status_at: Time,
     /// Requests sent to the peer since `updated_at`.
     sent_since: u32,
     transit: TransitTime,
@@ -76,6 +78,7 @@
             client: None,
             status: None,
             updated_at: Time::ZERO,
+            status_at: Time::ZERO,
             sent_since: 0,
             transit: TransitTime::default(),
             status_calls: OverdueReply::default(),
@@ -357,6 +360,14 @@
         2 * (connected + 1) > connected + lost + 1
     }
 
+    /// Returns whether more than half of the known nodes, this one and at least one peer among them, have
+    /// sent their status since `since`.
+    pub(crate) fn has_heard_majority(&self, since: Time) -> bool {
+        let connected = self.by_key.values().filter(|p| p.client.is_some());
+        let heard = connected.filter(|p| p.status_at >= since).count();
+        heard > 0 && 2 * (heard + 1) > self.by_key.len() + 1
+    }
+
     /// Returns the number of connected peers of a service.
     pub(crate) fn count_of(&self, service: &ServiceName) -> usize {
         let statuses = self.by_key.values().filter(|p| p.client.is_some());
@@ -410,6 +421,7 @@
 impl Peer {
     fn apply_status(&mut self, now: Time, status: Status) {
         self.updated_at = now;
+        self.status_at = now;
         for incarnation in &status.departed {
             if !self.departed.contains(incarnation) {
                 self.departed.push(incarnation.clone());
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -121,6 +121,10 @@
     pub(crate) outbox: Outbox,
     /// Large responses on this node's link.
     pub(crate) link_load: Mutex<LinkLoad>,
+    /// Newest version that a peer has announced.
+    pub(crate) newest_announced: AtomicU64,
+    /// Since when this node has to hear from the others before it trusts the log alone.
+    pub(crate) settling_since: Mutex<Time>,
     /// When the table in force was last known to be the newest.
     pub(crate) freshness: Mutex<Freshness>,
     /// Usage of organisations at this node, and that of all nodes if this one adds it up.
@@ -200,6 +204,8 @@
             connections: Connections::new(settings.bounds.max_callers),
             outbox: Outbox::default(),
             link_load: Mutex::default(),
+            newest_announced: AtomicU64::new(0),
+            settling_since: Mutex::new(Clock.now()),
             freshness: Mutex::default(),
             usage: Mutex::default(),
             usage_ledger: Mutex::default(),
@@ -303,6 +309,7 @@
             domain: self.settings.domain.clone(),
             service: self.service(),
             version: self.versions.number(),
+            log_restores: self.settings.source.log.restores().count(),
             link_mbps: self.settings.link_mbps,
             is_leaving: self.phase() != Phase::Serving,
             queue: self.queue_for_peers(now).into(),
--- a/crates/proxy/src/source.rs
+++ b/crates/proxy/src/source.rs
@@ -62,25 +62,39 @@
 /// newer version either.
 const MAX_PEERS_ASKED: usize = 4;
 
+/// A registration of this node, which holds until the log is restored.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Registration {
+    /// Restores of the log when it listed the registration.
+    pub(crate) restores: Option<u64>,
+}
+
 /// Registers this node in the node stream and adds the nodes found there as peers. Retries until it
-/// succeeds or the node stops.
-pub(crate) async fn register(shared: Arc<Shared>) {
+/// succeeds. Returns `None` if the node stops.
+pub(crate) async fn register(shared: &Shared) -> Option<Registration> {
     let mut backoff = Backoff::new();
-    while let Err(e) = try_register(&shared).await {
-        shared.metrics.count(Metric::LogFailures);
-        log::warn!(event = "register_failed", error:% = e; "could not register this node in the log or read the other nodes from it; retrying after a backoff");
-        if !sleep_unless_stopped(&shared, backoff.next(&shared)).await {
-            return;
+    loop {
+        match try_register(shared).await {
+            Ok(registration) => return Some(registration),
+            Err(e) => {
+                shared.metrics.count(Metric::LogFailures);
+                log::warn!(event = "register_failed", error:% = e; "could not register this node in the log or read the other nodes from it; retrying after a backoff");
+            }
+        }
+        if !sleep_unless_stopped(shared, backoff.next(shared)).await {
+            return None;
         }
     }
 }
 
-async fn try_register(shared: &Shared) -> Result<(), LogError> {
+async fn try_register(shared: &Shared) -> Result<Registration, LogError> {
     let source = &shared.settings.source;
     let peer_addr = shared.settings.peer_addr.to_string();
     let Ok(record) = encode_keyed(peer_addr.as_bytes(), b"1") else {
         // Not reached: an address is far shorter than the longest key.
-        return Ok(());
+        return Ok(Registration {
+            restores: source.log.restores().count(),
+        });
     };
     shared.metrics.count(Metric::LogAppends);
     source.log.append(&source.node_stream, vec![record]).await?;
@@ -89,6 +103,11 @@
         .records
         .into_iter()
         .partition(departures::is_departure);
+    if !nodes.iter().any(|r| r.key == peer_addr.as_bytes()) {
+        return Err(no_response_error(
+            "the log was restored from a copy without this node",
+        ));
+    }
     log::info!(event = "registered", nodes = nodes.len(); "registered this node in the log and read the registered nodes");
     departures::load(shared, &departures);
     for record in nodes {
@@ -100,7 +119,9 @@
         }
     }
     shared.set_registered(shared.now());
-    Ok(())
+    Ok(Registration {
+        restores: newest.restores,
+    })
 }
 
 /// Returns the link address that the key of a node's record names, if a node can have it.
@@ -114,12 +135,16 @@
 /// stops.
 pub(crate) async fn follow_versions(shared: Arc<Shared>) {
     // `None` to read the newest version of the stream.
-    let mut from: Option<Offset> = None;
+    let mut from: Option<Position> = None;
     let mut backoff = Backoff::new();
     let times = ReadTimes::from(&shared.settings.bounds);
     loop {
         let result = tokio::select! {
             result = read_versions(&shared, from, times) => result,
+            () = wait_until_invalid(&shared, from) => {
+                from = None;
+                continue;
+            }
             () = wait_until_relieved(&shared) => {
                 shared.is_log_readable.store(false, Ordering::Relaxed);
                 if !wait_until_needed(&shared).await {
@@ -132,11 +157,8 @@
             () = shared.wait_for_phase(Phase::Stopped) => return,
         };
         let wait = match result {
-            Ok(ReadResult {
-                next_offset,
-                is_burst,
-            }) => {
-                from = (!is_burst).then_some(next_offset);
+            Ok(next) => {
+                from = next;
                 backoff = Backoff::new();
                 if !shared.is_log_readable.swap(true, Ordering::Relaxed) {
                     log::info!(event = "log_regained"; "reads of versions from the log succeed");
@@ -164,6 +186,24 @@
     }
 }
 
+/// Where a reader goes on in the version stream.
+#[derive(Clone, Copy, Debug)]
+struct Position {
+    offset: Offset,
+    /// Restores of the log when it named the offset. After the next one, the offset may lie beyond
+    /// records that have not been read.
+    restores: Option<u64>,
+}
+
+/// Waits until the log has been restored since it named the position.
+async fn wait_until_invalid(shared: &Shared, position: Option<Position>) {
+    let Some(Position { restores, .. }) = position else {
+        return std::future::pending().await;
+    };
+    let log = &shared.settings.source.log;
+    log.restores().wait_beyond(restores).await;
+}
+
 /// How long reads of versions take at most.
 #[derive(Clone, Copy, Debug)]
 struct ReadTimes {
@@ -265,22 +305,14 @@
     }
 }
 
-/// Result of one read of the version stream.
-struct ReadResult {
-    /// Offset at which the next read starts.
-    next_offset: Offset,
-    /// Whether several records arrived at once, so that it is cheaper to read only the newest
-    /// version next.
-    is_burst: bool,
-}
-
 /// Waits for records at `from` or later and applies the newest valid version among them. If `from`
-/// is `None`, applies the newest version of the stream.
+/// is `None`, applies the newest version of the stream. Returns where the next read starts, `None` for
+/// the newest version.
 async fn read_versions(
     shared: &Shared,
-    from: Option<Offset>,
+    from: Option<Position>,
     times: ReadTimes,
-) -> Result<ReadResult, LogError> {
+) -> Result<Option<Position>, LogError> {
     let source = &shared.settings.source;
     let key = source.version_key.as_bytes();
     let Some(from) = from else {
@@ -293,21 +325,25 @@
             is_usable &= adopt(shared, &record.value, "log");
         }
         if is_usable {
-            shared.freshness.lock().record(asked_at);
+            shared.record_log_proof(asked_at);
         }
-        return Ok(ReadResult {
-            next_offset: newest.end,
-            is_burst: false,
-        });
+        return Ok(Some(Position {
+            offset: newest.end,
+            restores: newest.restores,
+        }));
     };
     let wait = times.poll_wait;
     let asked_at = shared.now();
-    let read = source.log.read(&source.version_stream, from, wait);
+    let read = source.log.read(&source.version_stream, from.offset, wait);
     let batch = reply_within(wait + POLL_MARGIN, read).await?;
+    if batch.restores > from.restores {
+        return Ok(None);
+    }
     let next_offset = batch
         .records
         .last()
-        .map_or(from.max(batch.end), |r| Offset(r.offset.0 + 1));
+        .map_or(from.offset.max(batch.end), |r| Offset(r.offset.0 + 1));
+    // Of several records at once, only the newest version matters, and reading that next is cheaper.
     let is_burst = batch.records.len() > 1;
     let records = batch.records.iter().filter_map(|r| {
         let keyed = decode_keyed(r.offset, &r.data);
@@ -335,12 +371,13 @@
             Duration::ZERO
         };
         let at = (asked_at + waited).min(shared.now());
-        shared.freshness.lock().record(at);
+        shared.record_log_proof(at);
     }
-    Ok(ReadResult {
-        next_offset,
-        is_burst,
-    })
+    let next = Position {
+        offset: next_offset,
+        ..from
+    };
+    Ok((!is_burst).then_some(next))
 }
 
 /// Waits for the reply to a read, at most for `limit`.
@@ -408,8 +445,10 @@
             () = shared.version_behind.notified() => {}
             () = shared.wait_for_phase(Phase::Stopped) => return,
         }
-        // A reader gets most announced versions from the log shortly afterwards.
+        // A reader gets most announced versions from the log shortly afterwards. A log that was restored
+        // may have lost the version, and a node without a proof of its table refuses requests meanwhile.
         if shared.is_log_readable.load(Ordering::Relaxed)
+            && shared.are_keys_confirmed(shared.now())
             && !sleep_unless_stopped(&shared, LOG_DELIVERY_WAIT).await
         {
             return;
