Trust a log at once that names no restores

Change: a log whose answers name no number of restores is never restored, so that its reads are proofs from the start. The in-memory log names it only in the tests of restores.

--- a/crates/fakes/src/keyed.rs
+++ b/crates/fakes/src/keyed.rs
@@ -37,7 +37,8 @@
 struct State {
     streams: BTreeMap<String, Stream>,
     call_count: u64,
-    restore_count: u64,
+    /// Number of restores that answers name; `None` for a log that is never restored.
+    restore_count: Option<u64>,
 }
 
 /// An in-memory keyed log. Clones share their content and fault.
@@ -62,6 +63,13 @@
 }
 
 impl FakeKeyedLog {
+    /// Returns an empty log whose answers say how often it has been restored.
+    pub fn restorable() -> FakeKeyedLog {
+        let log = FakeKeyedLog::default();
+        log.state.lock().restore_count = Some(0);
+        log
+    }
+
     /// Appends a record with `key` and `value`, regardless of the current fault.
     ///
     /// # Panics
@@ -104,7 +112,7 @@
             s.records.truncate(copy.get(name).copied().unwrap_or(0));
             s.oldest = s.oldest.min(s.records.len());
         }
-        state.restore_count += 1;
+        state.restore_count = Some(state.restore_count.map_or(1, |n| n + 1));
         drop(state);
         self.changed.send_modify(|n| *n += 1);
     }
@@ -153,7 +161,7 @@
         let fault = self.apply_fault().await?;
         let first = {
             let mut state = self.state.lock();
-            self.restores.record(Some(state.restore_count));
+            self.restores.record(state.restore_count);
             let s = state.streams.entry(stream.to_owned()).or_default();
             let first = Offset(s.records.len() as u64);
             if end.is_some_and(|end| end != first) {
@@ -172,7 +180,7 @@
 
     fn read_now(&self, stream: &str, from: Offset) -> Result<Batch, LogError> {
         let mut state = self.state.lock();
-        let restores = Some(state.restore_count);
+        let restores = state.restore_count;
         self.restores.record(restores);
         let s = state.streams.entry(stream.to_owned()).or_default();
         let start = from.0 as usize;
@@ -248,7 +256,7 @@
         Box::pin(async move {
             self.apply_fault().await?;
             let mut state = self.state.lock();
-            let restores = Some(state.restore_count);
+            let restores = state.restore_count;
             self.restores.record(restores);
             let s = state.streams.entry(stream.to_owned()).or_default();
             let mut newest: BTreeMap<Vec<u8>, KeyedRecord> = BTreeMap::new();
--- a/crates/proxy/src/restores.rs
+++ b/crates/proxy/src/restores.rs
@@ -40,8 +40,12 @@
 
 impl Shared {
     /// Returns whether this node has heard from enough others since its start and the last restore of the
-    /// log.
+    /// log. A log that does not count its restores has none.
     pub(crate) fn is_settled(&self, now: Time) -> bool {
+        let log = &self.settings.source.log;
+        if log.restores().count().is_none() {
+            return true;
+        }
         let since = *self.settling_since.lock();
         now.since(since) >= SETTLE_TIME || self.peers.lock().has_heard_majority(since)
     }
