Let completed runs weigh against a crash

Cause: each request that ran at a target when it died counted as its cause, two targets quarantined the fingerprint everywhere, and completed runs counted for nothing: no code of the proxy called Quarantine::clear.

Change: a completed run voids the strikes before it and is told to the other nodes.

--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -345,6 +345,10 @@
             progress.sends += 1;
             let is_failure = answer.status >= 500;
             if !is_failure {
+                if destination != Destination::Local {
+                    // The node beside the target notifies the others.
+                    let _ = beside::record_completed(shared, &pending.call);
+                }
                 let service = Duration::from_millis(progress.times.target_ms.into());
                 let mut averages = shared.route_averages.lock();
                 averages.record(&pending.route.name, answer.body.len(), service);
--- a/crates/proxy/src/beside.rs
+++ b/crates/proxy/src/beside.rs
@@ -22,6 +22,9 @@
 use crate::shared::{Phase, Shared};
 use crate::upstream::{ReceivedResponse, RequestBody, Reuse, SendError};
 
+/// Largest body of a completed request that is hashed although no target has crashed lately.
+const MAX_REMEMBERED_BODY: usize = 16 << 10;
+
 /// Where a call comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Origin {
@@ -219,19 +222,22 @@
         shared.metrics.count(Metric::RolloutRefusals);
         return Err(Code::NotReleased.into());
     }
-    if shared.is_quarantined(now, || fingerprint(call)) {
+    if shared.is_quarantined(now, || fingerprint(shared, call)) {
         shared.metrics.count(Metric::QuarantineRefusals);
         return Err(Code::Quarantined.into());
     }
     Ok(())
 }
 
-/// Hashes the parts of a request that its retries share, to recognise requests that crash targets.
-pub(crate) fn fingerprint(call: &Call) -> Fingerprint {
+/// Hashes the parts of a request that its retries share, to recognise requests that crash targets. They
+/// may enter the mesh at any node, so that the service there is not one of them.
+pub(crate) fn fingerprint(shared: &Shared, call: &Call) -> Fingerprint {
+    let organisation = organisation(shared, call).unwrap_or_default().to_le_bytes();
     let head = [
         call.service.0.as_bytes(),
         call.method.as_bytes(),
         call.path.as_bytes(),
+        &organisation,
     ];
     Fingerprint::of_pieces(&head, call.body.parts().map(AsRef::as_ref), call.body.len())
 }
@@ -278,6 +284,9 @@
     if let Outcome::Answer(answer) = &outcome {
         let bytes = answer.body.len();
         shared.link_load.lock().record(slot.call.route, bytes);
+        if answer.status < 500 {
+            report_completed(shared, &slot.call);
+        }
     }
     rollouts::record_outcome(shared, slot.call.route, now.since(started_at), &outcome);
     slot.outcome = job_outcome(&outcome);
@@ -427,7 +436,7 @@
         return;
     };
     let notice = StrikeNotice {
-        fingerprint: fingerprint(call),
+        fingerprint: fingerprint(shared, call),
         target: InstanceId::of(&report.incarnation.name).0,
         started: report.incarnation.started,
     };
@@ -441,6 +450,46 @@
     }
 }
 
+/// Records at this node that a request has completed; see [`Quarantine::record_completed`]. Returns its
+/// fingerprint if other nodes should know. A large body is hashed only while there are strikes.
+///
+/// [`Quarantine::record_completed`]: route::Quarantine::record_completed
+pub(crate) fn record_completed(shared: &Shared, call: &Call) -> Option<Fingerprint> {
+    if call.body.len() > MAX_REMEMBERED_BODY && shared.quarantine.lock().is_empty() {
+        return None;
+    }
+    let fp = fingerprint(shared, call);
+    end_suspicion(shared, fp).then_some(fp)
+}
+
+/// Voids the strikes against the fingerprint of a completed request. Returns whether there were any.
+pub(crate) fn end_suspicion(shared: &Shared, fp: Fingerprint) -> bool {
+    let now = shared.now();
+    let (was_quarantined, has_changed) = {
+        let mut quarantine = shared.quarantine.lock();
+        let was_quarantined = quarantine.is_quarantined(now, fp);
+        (was_quarantined, quarantine.record_completed(now, fp))
+    };
+    if was_quarantined {
+        log::info!(event = "quarantine_lifted", fingerprint = fp.0; "a request with the fingerprint has completed; such requests are admitted again");
+    }
+    has_changed
+}
+
+/// Records that the target has completed a request, and notifies all connected peers if that voids
+/// strikes.
+fn report_completed(shared: &Arc<Shared>, call: &Call) {
+    let Some(fp) = record_completed(shared, call) else {
+        return;
+    };
+    for (_, client) in shared.peers.lock().clients() {
+        shared.tasks.spawn(async move {
+            // A peer that misses the notice counts the completed runs that it finds itself.
+            let _ = client.run_completed(tarpc::context::current(), fp).await;
+        });
+    }
+}
+
 /// Counts a strike found by this node or announced by a peer.
 pub(crate) fn record_strike(shared: &Shared, notice: StrikeNotice) {
     shared.metrics.count(Metric::Strikes);
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -263,7 +263,7 @@
         staged_body: None,
     };
     let now = shared.now();
-    if shared.is_quarantined(now, || beside::fingerprint(&call)) {
+    if shared.must_refuse(now, || beside::fingerprint(shared, &call)) {
         shared.metrics.count(Metric::QuarantineRefusals);
         return Err(Code::Quarantined.into());
     }
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -26,7 +26,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use usage::{Grant, UsageCount};
-use wire::{Code, Refusal, ServiceName};
+use wire::{Code, Fingerprint, Refusal, ServiceName};
 
 use crate::beside::{self, Origin};
 use crate::deciding;
@@ -187,6 +187,10 @@
         beside::record_strike(&self.shared, strike);
     }
 
+    async fn run_completed(self, _: Context, fingerprint: Fingerprint) {
+        beside::end_suspicion(&self.shared, fingerprint);
+    }
+
     async fn announce_reader(self, _: Context, announcement: ReaderAnnouncement) {
         if announcement.can_read {
             self.shared
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -59,6 +59,9 @@
     /// Takes a token of this node's part of the service's retry budget for a request of the calling
     /// node; `false` if none is left.
     async fn lend_retry(service: ServiceName) -> bool;
+    /// Notifies this node that a target has completed a request with this fingerprint, against which there
+    /// were strikes.
+    async fn run_completed(fingerprint: Fingerprint);
 }
 
 /// State that a node announces to its peers.
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -183,7 +183,7 @@
                 slack: settings.bounds.retry_slack,
             })),
             is_registered: AtomicBool::new(false),
-            quarantine: Mutex::new(Quarantine::new(QuarantineCfg::default())),
+            quarantine: Mutex::new(Quarantine::new(quarantine_cfg(&mut rng))),
             rng: Mutex::new(rng),
             metrics,
             latencies: Latencies::default(),
@@ -417,6 +417,16 @@
         quarantine.is_quarantined(now, fp())
     }
 
+    /// Returns whether a request that enters the mesh here is refused because requests like it crashed
+    /// targets.
+    pub(crate) fn must_refuse(&self, now: Time, fp: impl FnOnce() -> Fingerprint) -> bool {
+        let mut quarantine = self.quarantine.lock();
+        if quarantine.is_empty() {
+            return false;
+        }
+        quarantine.must_refuse(now, fp())
+    }
+
     /// Returns the present incarnation of the target; `None` while the target may get no requests.
     pub(crate) fn target_incarnation(&self) -> Option<TargetIncarnation> {
         self.target
@@ -451,6 +461,17 @@
     }
 }
 
+/// Returns the settings of the quarantine. It ends at a different time at each node: the request that the
+/// first one lets through shows the others whether it still crashes targets.
+fn quarantine_cfg(rng: &mut SmallRng) -> QuarantineCfg {
+    let cfg = QuarantineCfg::default();
+    let unit = f64::from(rng.next_u32()) / f64::from(u32::MAX);
+    QuarantineCfg {
+        duration: cfg.duration.mul_f64(1.0 + unit),
+        ..cfg
+    }
+}
+
 /// Sleeps for `period`, or until the node stops. Returns whether the node is still running.
 pub(crate) async fn sleep_unless_stopped(shared: &Shared, period: Duration) -> bool {
     tokio::select! {
