Let no reply of a usage ledger permit anything for long

Cause: "far from the limit" permitted any rate for 1.5 s after the last reply, then 1.5 equal shares beside the whole limit of the others. A new ledger granted at once without what had been admitted, and each of two ledgers granted the whole limit.

Change: a reply counts for 0.6 s from its report. Then a node goes on at about its own average, less what it admitted beyond that, and after 3 s at an equal share. A ledger that follows another one holds for 3 s, and each ledger grants the part of the nodes that report to it.

--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -25,7 +25,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
-use usage::{Grant, UsageCount};
+use usage::{Grant, UsageReport};
 use wire::{Code, Fingerprint, Refusal, ServiceName};
 
 use crate::beside::{self, Origin};
@@ -222,9 +222,9 @@
         self,
         _: Context,
         link: SocketAddr,
-        counts: Vec<UsageCount>,
+        report: UsageReport,
     ) -> Option<Vec<Grant>> {
-        usage_limits::receive(&self.shared, link, &counts)
+        usage_limits::receive(&self.shared, link, &report)
     }
 
     async fn update_from(self, _: Context, base_version: u64) -> Option<VersionUpdate> {
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -12,7 +12,7 @@
 use memory::Body;
 use rollout::{KnownOrder, Report};
 use serde::{Deserialize, Serialize};
-use usage::{Grant, UsageCount};
+use usage::{Grant, UsageReport};
 use wire::{Code, Domain, Fingerprint, Load, Refusal, ServiceName, UnixMillis};
 
 use crate::names::HeaderField;
@@ -52,7 +52,7 @@
     async fn newest_version() -> Option<(u64, Duration)>;
     /// Reports the usage of organisations at the node with this link address, to this node, which adds
     /// it up; returns what that node may admit. `None` if this node has no limits.
-    async fn report_usage(link: SocketAddr, counts: Vec<UsageCount>) -> Option<Vec<Grant>>;
+    async fn report_usage(link: SocketAddr, report: UsageReport) -> Option<Vec<Grant>>;
     /// Returns the update from version `base_version` to the newest one, or `None` if there is no
     /// newer one.
     async fn update_from(base_version: u64) -> Option<VersionUpdate>;
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -350,14 +350,32 @@
     /// Returns whether this node is connected to more than half of the nodes that it has known for the
     /// last while, itself included.
     pub(crate) fn has_majority(&self, now: Time) -> bool {
-        let connected = self.by_key.values().filter(|p| p.client.is_some()).count();
+        2 * (self.connected_count() + 1) > self.recently_known(now)
+    }
+
+    /// Returns the number of nodes that are connected or were so in the last while, this one included.
+    pub(crate) fn recently_known(&self, now: Time) -> usize {
         let lost = self
             .by_key
             .values()
             .filter(|p| p.client.is_none() && p.updated_at > Time::ZERO)
             .filter(|p| now.since(p.updated_at) < LOST_FOR)
             .count();
-        2 * (connected + 1) > connected + lost + 1
+        self.connected_count() + lost + 1
+    }
+
+    /// Returns the number that the process of the connected peer at `link` has drawn at its start.
+    pub(crate) fn boot_id(&self, link: SocketAddr) -> Option<u64> {
+        let peer = self.by_key.get(*self.by_link.get(&link)?)?;
+        Some(peer.status.as_ref()?.boot_id)
+    }
+
+    /// Requests an immediate status call to the peer at `link`.
+    pub(crate) fn suspect_link(&self, link: SocketAddr) {
+        let key = self.by_link.get(&link);
+        if let Some(peer) = key.and_then(|k| self.by_key.get(*k)) {
+            peer.suspicion.notify_one();
+        }
     }
 
     /// Returns whether more than half of the known nodes, this one and at least one peer among them, have
--- a/crates/proxy/src/usage_limits.rs
+++ b/crates/proxy/src/usage_limits.rs
@@ -1,11 +1,12 @@
 //! Usage limits of organisations: admission at this node, reports to the node that adds them up, and
 //! the sums if this is that node.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use config::Organisation;
-use usage::{Grant, UsageCount, UsageLimit};
+use usage::{Grant, LedgerId, UsageLimit, UsageReport};
 use wire::{Code, Refusal, ServiceName, Time};
 
 use crate::deciding;
@@ -41,11 +42,12 @@
     let Some(limit) = organisation.limit.map(to_limit) else {
         return Ok(admitted);
     };
-    let nodes = shared.peers.lock().len() + 1;
-    let result = shared
-        .usage
-        .lock()
-        .admit(now, organisation.id, limit, nodes);
+    let nodes = shared.peers.lock().recently_known(now);
+    let result = match shared.is_settled(now) {
+        true => (shared.usage.lock()).admit(now, organisation.id, limit, nodes),
+        // A node that has not heard from the others does not know how many share the limit.
+        false => Err(REPORT_INTERVAL),
+    };
     result.map(|()| admitted).map_err(|wait| {
         shared.tallies.lock().of(organisation.id).over_limit += 1;
         Refusal {
@@ -95,25 +97,31 @@
     if !shared.peers.lock().has_majority(shared.now()) {
         return;
     }
-    let counts = shared.usage.lock().take_report(shared.now());
     let link = shared.settings.peer_addr;
-    let grants = match owner(shared) {
-        None => receive(shared, link, &counts),
-        Some(client) => {
-            let reply = client.report_usage(context(REPORT_TIMEOUT), link, counts.clone());
+    let (ledger, client) = owner(shared);
+    let sent_at = shared.now();
+    let report = shared.usage.lock().take_report(sent_at, ledger);
+    let grants = match client {
+        None => receive(shared, link, &report),
+        Some((owner, client)) => {
+            let reply = client.report_usage(context(REPORT_TIMEOUT), link, report.clone());
             let reply = tokio::time::timeout(REPORT_TIMEOUT, reply).await;
+            if reply.is_err() {
+                shared.peers.lock().suspect_link(owner);
+            }
             reply.ok().and_then(Result::ok).flatten()
         }
     };
     let mut usage = shared.usage.lock();
     match grants {
-        Some(grants) => usage.apply(shared.now(), &grants),
-        None => usage.restore(&counts),
+        Some(grants) => usage.apply(shared.now(), sent_at, ledger, &report, &grants),
+        None => usage.restore(&report),
     }
 }
 
-/// Returns the node that adds up the usage, the first by rank; `None` for this node.
-fn owner(shared: &Shared) -> Option<LinkClient> {
+/// Returns the ledger of the node that adds up the usage, the first by rank, and the client of that node;
+/// `None` for this node.
+fn owner(shared: &Shared) -> (LedgerId, Option<(SocketAddr, LinkClient)>) {
     let name = ServiceName::from(RANK_NAME);
     let mut all = shared.peers.lock().decider_ranks(&name);
     if shared.phase() == Phase::Serving {
@@ -121,18 +129,27 @@
         all.push((deciding::rank(&name, s.peer_addr, s.link_mbps), None));
     }
     let first = all.into_iter().max_by_key(|(rank, _)| *rank);
-    first.and_then(|(_, client)| client)
+    let Some(((.., link), Some(client))) = first else {
+        return (shared.boot_id, None);
+    };
+    let boot_id = shared.peers.lock().boot_id(link).unwrap_or_default();
+    (boot_id, Some((link, client)))
 }
 
 /// Adds a node's report and returns what it may admit of organisations near their limits.
 pub(crate) fn receive(
     shared: &Shared,
-    link: std::net::SocketAddr,
-    counts: &[UsageCount],
+    link: SocketAddr,
+    report: &UsageReport,
 ) -> Option<Vec<Grant>> {
     let table = shared.versions.table()?;
     let organisations = table.organisations()?;
     let limit = |id| organisations.get(id)?.limit.map(to_limit);
+    let now = shared.now();
+    if !shared.is_settled(now) {
+        return None;
+    }
+    let known = shared.peers.lock().recently_known(now);
     let mut ledger = shared.usage_ledger.lock();
-    Some(ledger.report(shared.now(), link, counts, limit))
+    ledger.report(now, link, report, limit, known)
 }
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -6,6 +6,11 @@
 //! have admitted before they heard of that is taken off what they may admit next, so that the limit
 //! holds over a window of some seconds.
 //!
+//! A reply of the ledger permits something only for a short time. After that a node goes on at its own
+//! average and then at an equal share of the limit, and takes off what it has admitted beyond that. A
+//! ledger leaves an equal share to each known node that does not report to it, so that two ledgers that
+//! each hear from some of the nodes grant no more than the limit together.
+//!
 //! The crate does no I/O, and the current time is an argument.
 
 mod bucket;
@@ -15,11 +20,17 @@
 
 pub use bucket::UsageLimit;
 pub use ledger::Ledger;
-pub use local::LocalUsage;
+pub use local::{LedgerId, LocalUsage};
 pub use tally::{Tallies, Tally};
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
+/// Time for which a node whose reports are not answered goes on at its own average, and for which a new
+/// ledger grants nothing to others: until then, replies of another ledger may still have an effect.
+pub(crate) const HOLD_TIME: Duration = Duration::from_secs(3);
+
 /// Identifies an organisation: a hash of its name.
 pub type OrganisationId = u64;
 
@@ -35,6 +46,15 @@
     pub admitted: i32,
 }
 
+/// Report of a node to a ledger.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageReport {
+    /// Counts of the organisations that were active.
+    pub counts: Vec<UsageCount>,
+    /// Whether another ledger has answered the node last, so that its reply may still have an effect.
+    pub follows_other: bool,
+}
+
 /// What a node may admit of an organisation that is near its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
