Pause between two registrations

Cause, found on reading the diff: a node that hears from a peer of more restores than the log itself names registered again at once, each time, without a pause.

Change: half a second lies between two registrations of a node.

--- a/crates/proxy/src/departures.rs
+++ b/crates/proxy/src/departures.rs
@@ -21,6 +21,8 @@
 /// Start of the keys in the node stream; the node's link address, the start time and the name of the
 /// departed incarnation follow, separated by spaces.
 const KEY_PREFIX: &str = "departed ";
+/// Shortest time between two registrations. A peer may name more restores than the log does.
+const MIN_REGISTER_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time that an acknowledgement waits for the log. A target counts an acknowledgement only
 /// within a second.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(700);
@@ -68,10 +70,14 @@
 /// that was restored may have lost both, so that they are repeated.
 pub(crate) async fn keep_recorded(shared: Arc<Shared>) {
     while let Some(registration) = source::register(&shared).await {
-        let restores = registration.restores;
+        let lost = async {
+            tokio::time::sleep(MIN_REGISTER_INTERVAL).await;
+            let log = &shared.settings.source.log;
+            log.restores().wait_beyond(registration.restores).await
+        };
         tokio::select! {
             () = record(&shared) => return,
-            _ = shared.settings.source.log.restores().wait_beyond(restores) => {}
+            _ = lost => {}
         }
     }
 }
--- a/crates/proxy/tests/restores.rs
+++ b/crates/proxy/tests/restores.rs
@@ -163,3 +163,20 @@
     assert_eq!(version(&started), 5);
     assert!(targets.iter().all(|t| received_requests(t).is_empty()));
 }
+
+/// Guards against nodes that call the log without a pause because a peer names more restores than the
+/// log does.
+#[tokio::test]
+async fn a_wrong_number_of_restores_floods_no_log() {
+    const SECONDS: u64 = 2;
+    let log = log_with(1);
+    let targets = targets(3).await;
+    let _nodes = start_mesh(&log, &targets).await;
+    let before = log.call_count();
+    log.restores().record(Some(99));
+    tokio::time::sleep(Duration::from_secs(SECONDS)).await;
+    let calls = log.call_count() - before;
+    // Three nodes that each register and read up to twice a second, with two calls and one.
+    let most = 3 * 3 * 2 * (SECONDS + 1);
+    assert!(calls <= most, "{calls} calls, at most {most}");
+}
